--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,58 @@
+// Package cli is the command line of pollenscale.
+//
+// Each command returns a stable exit code, so that scripts can rely on it.
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Code is the exit code of a command.
+type Code = int
+
+// The exit codes.
+const (
+	OK     Code = 0
+	Failed Code = 1 // the command was understood and failed
+	Usage  Code = 2 // bad arguments or settings
+)
+
+// Version is the version of the program, set at link time.
+var Version = "dev"
+
+// Run executes the command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) Code {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.Execute(); err != nil {
+		return Usage
+	}
+	return OK
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "pollenscale",
+		Short:        "Load balancer with one daemon beside each target",
+		SilenceUsage: true,
+	}
+	root.AddCommand(newVersion())
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "pollenscale "+Version)
+			return err
+		},
+	}
+}
