io/caller, io/peer, io/target: thin request path end to end

A caller's request passes the entry daemon and the target's daemon to the target, as separate processes: scripts/path.sh starts them. Adds the attempt table, dispatch, serve, settings, the daemon command and the target stand-in. Members and policy come from the settings file, behind function fields.

--- /dev/null
+++ b/core/attempt/opener.go
@@ -0,0 +1,83 @@
+package attempt
+
+import (
+	"sync"
+
+	"pollenscale/core/fleet"
+)
+
+// Opener numbers the attempts of an entry daemon, per target's daemon, and
+// knows the lowest that is still open at each.
+type Opener struct {
+	// Daemon and Incarnation are those of the entry.
+	Daemon      fleet.DaemonID
+	Incarnation fleet.Incarnation
+
+	mu    sync.RWMutex
+	pairs map[fleet.DaemonID]*pair
+}
+
+// pair is the numbering towards one target's daemon.
+type pair struct {
+	mu     sync.Mutex
+	base   Sequence // number of closed[0]
+	closed []bool
+}
+
+// Open is an attempt that the entry has not closed yet.
+type Open struct {
+	Ref  Ref
+	pair *pair
+}
+
+// Open returns the next attempt for the target.
+func (o *Opener) Open(target fleet.Target) Open {
+	p := o.pair(target.Daemon)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = append(p.closed, false)
+	sequence := p.base + Sequence(len(p.closed)) - 1
+	return Open{pair: p, Ref: Ref{
+		ID:       ID{Daemon: o.Daemon, Incarnation: o.Incarnation, Sequence: sequence},
+		Target:   target.Incarnation,
+		OpenFrom: p.base,
+	}}
+}
+
+// Close declares that the entry will not ask about the attempt any more.
+// Closing twice has no effect.
+func (o Open) Close() {
+	p := o.pair
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o.Ref.ID.Sequence < p.base {
+		return
+	}
+	p.closed[o.Ref.ID.Sequence-p.base] = true
+	n := 0
+	for n < len(p.closed) && p.closed[n] {
+		n++
+	}
+	p.base += Sequence(n)
+	p.closed = p.closed[n:]
+}
+
+func (o *Opener) pair(id fleet.DaemonID) *pair {
+	o.mu.RLock()
+	p := o.pairs[id]
+	o.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p = o.pairs[id]; p != nil {
+		return p
+	}
+	if o.pairs == nil {
+		o.pairs = map[fleet.DaemonID]*pair{}
+	}
+	p = &pair{base: 1}
+	o.pairs[id] = p
+	return p
+}
--- /dev/null
+++ b/core/call/call.go
@@ -0,0 +1,76 @@
+// Package call describes a request and its answer as they pass through the
+// daemons, whatever the protocol on either side.
+package call
+
+import (
+	"io"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrCutOff is returned by Answer.Body when the answer ended before it was
+// whole.
+var ErrCutOff = errors.New("answer cut off")
+
+// Header holds header fields by canonical name.
+type Header map[string][]string
+
+// Get returns the first value of the named field, or "".
+func (h Header) Get(name string) string {
+	if v := h[name]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+// Fence is the lease token under which a keyed request was accepted.
+type Fence struct {
+	Slot  string
+	Token uint64
+}
+
+// Request is a request on its way to a target.
+type Request struct {
+	Service      fleet.Service
+	Organisation fleet.Organisation
+	Rank         fleet.Rank
+	// Deadline is in the local clock.
+	Deadline   time.Time
+	Idempotent bool
+	Deferred   bool
+	// Key is the idempotency key, or "".
+	Key         string
+	Fence       Fence
+	Fingerprint uint64
+	// Depth counts the calls above this one.
+	Depth uint32
+
+	Method string
+	// Path is the path of URI, for matching routes.
+	Path   string
+	URI    string
+	Header Header
+	// ContentLength is the size of the body in bytes, or -1 when unknown.
+	ContentLength int64
+	Body          *Body
+	// OwnKey asks the receiver to decide about Key and to dispatch the request.
+	OwnKey bool
+}
+
+// Answer is a response on its way to a caller.
+type Answer struct {
+	Outcome outcome.Outcome
+	Status  int
+	Header  Header
+	// ContentLength is the size of the body in bytes, or -1 when unknown.
+	ContentLength int64
+	// Body returns io.EOF only when the answer is whole. It must be closed.
+	Body io.ReadCloser
+	// Load returns the latest load report that came with the answer, and false
+	// when there was none. It is nil for answers that carry no load.
+	Load func() (fleet.Load, bool)
+}
--- /dev/null
+++ b/core/dispatch/keyed.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"pollenscale/core/call"
+	"pollenscale/core/outcome"
+	"pollenscale/core/policy"
+)
+
+// keepBytes is the largest answer that is kept for a repeated key.
+const keepBytes = 16 << 10
+
+// Claim is the permission of a key's owner to run a request once.
+type Claim struct {
+	// Fence goes with each attempt.
+	Fence call.Fence
+	// First is the kept answer to an earlier request with the same key. When it
+	// is set, nothing is run and Finish is not called.
+	First *call.Answer
+	// Finish records how the request ended. It is called exactly once.
+	Finish func(Finished)
+}
+
+// Finished is the end of a request with a key.
+type Finished struct {
+	Outcome outcome.Outcome
+	// Status and Header are those of the answer, if there was one.
+	Status int
+	Header call.Header
+	// Body is the whole body if Kept is set. Larger answers are not kept.
+	Body []byte
+	Kept bool
+}
+
+// keyed reports whether an owner decides about the request.
+func (d *Dispatcher) keyed(route policy.Route, r *call.Request) bool {
+	if r.Key == "" || route.Idempotent {
+		return false
+	}
+	return route.KeyRule == policy.KeyStamped || route.KeyRule == policy.KeyRecorded
+}
+
+// keyedCall has the key's owner decide, which may be this daemon.
+func (d *Dispatcher) keyedCall(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
+	if d.Owner == nil {
+		return nil, outcome.New(outcome.Unknown, outcome.KeyUnknown, "no owner of the key can be reached")
+	}
+	owner, own, err := d.Owner(ctx, service, r)
+	if err != nil {
+		return nil, err
+	}
+	if own {
+		return d.claimed(ctx, service, r)
+	}
+	forwarded := *r
+	forwarded.OwnKey = true
+	return d.try(ctx, owner, &forwarded)
+}
+
+// Own decides about the key of a request that another entry forwarded, and
+// sends the request on. The answer's body must be closed.
+func (d *Dispatcher) Own(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	r.OwnKey = false
+	service, route, err := d.prepare(r)
+	if err != nil {
+		return nil, err
+	}
+	if !d.keyed(route, r) {
+		return nil, outcome.New(outcome.NotRun, outcome.StaleAttempt, "the key rule changed")
+	}
+	if err := d.identify(r); err != nil {
+		return nil, err
+	}
+	return d.claimed(ctx, service, r)
+}
+
+func (d *Dispatcher) claimed(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
+	if d.Claim == nil {
+		return nil, outcome.New(outcome.Unknown, outcome.KeyUnknown, "this daemon does not own the key")
+	}
+	claim, err := d.Claim(ctx, service, r)
+	if err != nil {
+		return nil, err
+	}
+	if claim.First != nil {
+		return claim.First, nil
+	}
+	r.Fence = claim.Fence
+	answer, err := d.attempts(ctx, service, r)
+	if err != nil {
+		claim.Finish(Finished{Outcome: outcome.Of(err)})
+		return nil, err
+	}
+	answer.Body = &keeper{body: answer.Body, answer: answer, finish: claim.Finish}
+	return answer, nil
+}
+
+// keeper passes a body on and keeps a small one for the key's record.
+type keeper struct {
+	body   io.ReadCloser
+	answer *call.Answer
+	finish func(Finished)
+	kept   bytes.Buffer
+	whole  bool
+	large  bool
+	done   bool
+}
+
+// Read passes on and keeps what it reads.
+func (k *keeper) Read(p []byte) (int, error) {
+	n, err := k.body.Read(p)
+	if k.kept.Len()+n > keepBytes {
+		k.large = true
+		k.kept.Reset()
+	}
+	if !k.large {
+		k.kept.Write(p[:n])
+	}
+	if err == io.EOF {
+		k.whole = true
+	}
+	return n, err
+}
+
+// Close records the end of the request.
+func (k *keeper) Close() error {
+	if k.done {
+		return nil
+	}
+	k.done = true
+	f := Finished{Outcome: outcome.Run, Status: k.answer.Status, Header: k.answer.Header}
+	if k.whole && !k.large {
+		f.Body, f.Kept = k.kept.Bytes(), true
+	}
+	k.finish(f)
+	return k.body.Close()
+}
+
+// closer calls a function once after the body is closed.
+type closer struct {
+	io.ReadCloser
+	then func()
+}
+
+// Close closes the body.
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	if c.then != nil {
+		c.then()
+		c.then = nil
+	}
+	return err
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,7 +30,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	if err := root.Execute(); err != nil {
-		return Usage
+		return codeOf(err)
 	}
 	return OK
 }
@@ -41,7 +41,7 @@
 		Short:        "Load balancer with one daemon beside each target",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newDaemon(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+	"time"
+)
+
+// drain stops the daemon gracefully.
+func (d *Daemon) drain() error {
+	d.Log.Info("daemon: draining.")
+	d.State.Close()
+	d.Caller.Drain()
+	// Entries and callers learn of the drain from probes and answers. Requests
+	// that arrive until then are still served or refused as not run.
+	time.Sleep(d.Settings.Drain.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Stop.Duration())
+	defer cancel()
+	// Callers first, since their requests need connections to peers.
+	if err := d.Caller.Shutdown(ctx); err != nil {
+		d.Log.Warn("daemon: requests of callers did not complete.", "error", err)
+	}
+	d.waitIdle(ctx)
+	if err := d.PeerSide.Shutdown(ctx); err != nil {
+		d.Log.Warn("daemon: attempts of peers did not complete.", "error", err)
+	}
+	d.Log.Info("daemon: stopped.")
+	return nil
+}
+
+// waitIdle waits until no attempt is under way.
+func (d *Daemon) waitIdle(ctx context.Context) {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for d.Serve.UnderWay() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,85 @@
+// Package settings reads and checks the settings of a daemon.
+//
+// Settings are JSON with fields in Pascal case. They are checked completely
+// before the daemon listens on any port. Each error names the field, its value
+// and what is allowed.
+package settings
+
+import (
+	"os"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/policy"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Daemon           fleet.DaemonID         `validate:"required,max=64,name"`
+	Region           fleet.Region           `validate:"required,name"`
+	AvailabilityZone fleet.AvailabilityZone `validate:"required,name"`
+	// CallerAddress takes requests of callers, PeerAddress those of daemons.
+	CallerAddress   string `validate:"required,address"`
+	PeerAddress     string `validate:"required,address"`
+	GossipAddress   string `validate:"omitempty,address"`
+	OperatorAddress string `validate:"omitempty,address"`
+	Target          Target `validate:"required"`
+	// Peers are the daemons that are known without membership.
+	Peers []Peer `validate:"dive"`
+	// Policy is the configuration in force until a published one is known.
+	Policy *policy.Set `validate:"required"`
+	// Drain is the time for callers to leave before connections are closed.
+	Drain policy.Milliseconds `validate:"min=0,max=600000"`
+	// Stop is the time for work under way to complete after that.
+	Stop     policy.Milliseconds `validate:"min=0,max=3600000"`
+	LogLevel string              `validate:"omitempty,oneof=Debug Info Warn Error"`
+}
+
+// Target is the target beside the daemon.
+type Target struct {
+	Address    string        `validate:"required,address"`
+	Service    fleet.Service `validate:"required,name"`
+	Slots      fleet.Slots   `validate:"min=1,max=100000"`
+	HealthPath string        `validate:"omitempty,startswith=/"`
+}
+
+// Peer is another daemon.
+type Peer struct {
+	Daemon           fleet.DaemonID         `validate:"required,max=64,name"`
+	PeerAddress      string                 `validate:"required,address"`
+	Region           fleet.Region           `validate:"required,name"`
+	AvailabilityZone fleet.AvailabilityZone `validate:"required,name"`
+	Service          fleet.Service          `validate:"required,name"`
+}
+
+// The defaults of fields that may be omitted.
+const (
+	defaultDrain      policy.Milliseconds = 4000
+	defaultStop       policy.Milliseconds = 60000
+	defaultHealthPath                     = "/health"
+	defaultLogLevel                       = "Info"
+)
+
+// Read reads and checks the settings in the named file.
+func Read(name string) (*Settings, error) {
+	data, err := os.ReadFile(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	s, err := Parse(data)
+	return s, errors.Wrapf(err, "settings %s", name)
+}
+
+// Parse checks the settings in data.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{Drain: defaultDrain, Stop: defaultStop, LogLevel: defaultLogLevel}
+	s.Target.HealthPath = defaultHealthPath
+	if err := decode(data, s); err != nil {
+		return nil, err
+	}
+	if err := check(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,209 @@
+// Package caller takes requests of callers over HTTP/1.1 and HTTP/2 without TLS
+// and answers them.
+//
+// An answer that cannot be completed is cut off on the connection, so that the
+// caller never takes a part for the whole.
+package caller
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"pollenscale/core/call"
+	"pollenscale/core/outcome"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// stallTimeout bounds the wait for the next part of a request body.
+	stallTimeout = 10 * time.Second
+	// maxStreams bounds the requests that a caller may have open on one
+	// connection.
+	maxStreams       = 1000
+	streamWindow     = 256 << 10
+	connectionWindow = 1 << 20
+	copyBytes        = call.ReplayBytes
+)
+
+// Server answers callers.
+type Server struct {
+	// Do sends a request to a target. An error is an *outcome.Error.
+	Do func(context.Context, *call.Request) (*call.Answer, error)
+	// Log receives unexpected failures.
+	Log *slog.Logger
+
+	http     *http.Server
+	draining atomic.Bool
+}
+
+// Start prepares the server; it is called once before Serve.
+func (s *Server) Start() {
+	e := echo.New()
+	e.HideBanner = true
+	e.Any("/*", s.handle)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.http = &http.Server{
+		Handler:           e,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: connectionWindow,
+			MaxReceiveBufferPerStream:     streamWindow,
+		},
+	}
+}
+
+// Serve accepts connections from l until Shutdown, and returns
+// http.ErrServerClosed then.
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(l)
+}
+
+// Drain asks callers to leave: from now on each answer on HTTP/1.1 closes its
+// connection.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
+// Shutdown stops accepting and waits for open requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close closes all connections.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// handle answers one request.
+func (s *Server) handle(c echo.Context) error {
+	w, request := c.Response().Writer, c.Request()
+	if s.draining.Load() && request.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+	r, err := parse(request, time.Now())
+	if err != nil {
+		return fail(w, err)
+	}
+	s.attachBody(w, request, r)
+	answer, err := s.Do(request.Context(), r)
+	if err != nil {
+		return fail(w, err)
+	}
+	s.write(w, answer)
+	return nil
+}
+
+// attachBody gives the request its body. Each read of it must make progress.
+func (s *Server) attachBody(w http.ResponseWriter, request *http.Request, r *call.Request) {
+	if request.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	r.Body = call.NewBody(&progress{body: request.Body, control: control, deadline: r.Deadline}, request.ContentLength)
+	if request.ProtoMajor == 1 && (request.ContentLength < 0 || request.ContentLength > call.ReplayBytes) {
+		if err := control.EnableFullDuplex(); err != nil {
+			s.Log.Debug("caller: no full duplex.", "error", err)
+		}
+	}
+}
+
+// write sends an answer to the caller and cuts the connection if the answer
+// does not arrive whole.
+func (s *Server) write(w http.ResponseWriter, answer *call.Answer) {
+	defer func() {
+		if err := answer.Body.Close(); err != nil {
+			s.Log.Debug("caller: closing an answer failed.", "error", err)
+		}
+	}()
+	h := w.Header()
+	for name, values := range answer.Header {
+		if !hopByHop(name) {
+			h[name] = values
+		}
+	}
+	h[headerOutcome] = []string{string(answer.Outcome)}
+	if answer.ContentLength >= 0 && h["Content-Length"] == nil {
+		h["Content-Length"] = []string{strconv.FormatInt(answer.ContentLength, 10)}
+	}
+	w.WriteHeader(answer.Status)
+	if err := copyBody(w, answer); err != nil {
+		s.Log.Debug("caller: an answer was cut off.", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBody streams the body. Parts of a body of unknown size are sent at once.
+func copyBody(w http.ResponseWriter, answer *call.Answer) error {
+	p, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	flush := answer.ContentLength < 0
+	for {
+		n, err := answer.Body.Read(*p)
+		if n > 0 {
+			if _, err := w.Write((*p)[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if flush && n > 0 {
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// progress bounds each read of a request body.
+type progress struct {
+	body     io.Reader
+	control  *http.ResponseController
+	deadline time.Time
+}
+
+// Read reads from the caller, who must send something within the stall timeout.
+func (p *progress) Read(b []byte) (int, error) {
+	until := time.Now().Add(stallTimeout)
+	if p.deadline.After(time.Time{}) && p.deadline.Before(until) {
+		until = p.deadline
+	}
+	if err := p.control.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	n, err := p.body.Read(b)
+	if err != nil {
+		_ = p.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// fail answers with problem details.
+func fail(w http.ResponseWriter, err error) error {
+	var e *outcome.Error
+	if !errors.As(err, &e) {
+		e = outcome.New(outcome.Unknown, outcome.TargetFailed, err.Error())
+	}
+	return writeProblem(w, e)
+}
