--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,113 @@
+package admit_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pollenscale/core/admit"
+	"pollenscale/core/fleet"
+	"pollenscale/core/limit"
+	"pollenscale/core/outcome"
+	"pollenscale/core/policy"
+
+	"github.com/matryer/is"
+)
+
+func load(t *testing.T, name string, into any) {
+	data, err := os.ReadFile("testdata/" + name)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(json.Unmarshal(data, into))
+}
+
+type step struct {
+	AtMs         int
+	Submit       string
+	Release      string
+	Cancel       string
+	Rank         fleet.Rank
+	Organisation fleet.Organisation
+	DeadlineMs   int
+	StartByMs    int
+	Want         map[string]string // state of tickets after the step
+}
+
+// TestScripts guards against a queue that serves ranks, organisations or
+// deadlines out of order, keeps work that cannot finish in time, or starves a
+// rank below its floor.
+func TestScripts(t *testing.T) {
+	var cases []struct {
+		Name    string
+		Slots   fleet.Slots
+		Service policy.Service
+		Steps   []step
+	}
+	load(t, "scripts.json", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			now := start
+			at := func(ms int) time.Time {
+				if ms == 0 {
+					return time.Time{}
+				}
+				return start.Add(time.Duration(ms) * time.Millisecond)
+			}
+			q := admit.New(&c.Service, limit.Warm(c.Slots))
+			q.Now = func() time.Time { return now }
+			tickets := map[string]*admit.Ticket{}
+			states := map[string]string{}
+			for i, s := range c.Steps {
+				now = start.Add(time.Duration(s.AtMs) * time.Millisecond)
+				switch {
+				case s.Submit != "":
+					states[s.Submit] = "queued"
+					tickets[s.Submit] = q.Submit(admit.Request{
+						Rank: s.Rank, Organisation: s.Organisation, Deadline: at(s.DeadlineMs), StartBy: at(s.StartByMs),
+					}, func(err *outcome.Error) {
+						states[s.Submit] = "granted"
+						if err != nil {
+							states[s.Submit] = string(err.Reason)
+						}
+					})
+				case s.Release != "":
+					tickets[s.Release].Release()
+				case s.Cancel != "":
+					tickets[s.Cancel].Cancel()
+				default:
+					q.Refresh()
+				}
+				for id, want := range s.Want {
+					if states[id] != want {
+						t.Fatalf("step %d: ticket %s is %s, want %s", i, id, states[id], want)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestAcquire guards against a blocked caller that keeps a slot after its
+// context ended, and against an error that does not say 'not run'.
+func TestAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := admit.New(&policy.Service{}, limit.Warm(1))
+		release, err := q.Acquire(context.Background(), admit.Request{})
+		is.NoErr(err)
+		_, err = q.Acquire(context.Background(), admit.Request{Deadline: time.Now().Add(time.Second)})
+		var refused *outcome.Error
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Outcome, outcome.NotRun)
+		is.Equal(q.Load(time.Now()).Queued, uint32(0))
+		release()
+		again, err := q.Acquire(context.Background(), admit.Request{})
+		is.NoErr(err)
+		again()
+		is.Equal(q.Load(time.Now()).Running, uint32(0))
+	})
+}
--- /dev/null
+++ b/core/admit/rank.go
@@ -0,0 +1,123 @@
+package admit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pollenscale/core/fleet"
+)
+
+// rank holds the queued requests of one rank, by organisation.
+type rank struct {
+	worth  float64
+	floor  float64
+	credit float64 // floor credit in requests
+	share  float64 // share of recent starts
+	mean   float64 // smoothed service time in seconds
+	spread float64 // mean deviation of the service time in seconds
+	queued int
+	time   float64 // virtual time: the tag of the flow served last
+	flows  map[fleet.Organisation]*flow
+	active []*flow
+}
+
+// flow is the queue of one organisation within a rank. Its tag is the virtual
+// start time of its next request (start-time fair queueing).
+type flow struct {
+	weight  float64
+	tag     float64
+	tickets []*Ticket // by deadline
+}
+
+func newRank() *rank {
+	return &rank{flows: make(map[fleet.Organisation]*flow)}
+}
+
+// observe records the service time of a request.
+func (k *rank) observe(took float64) {
+	if k.mean == 0 {
+		k.mean = took
+		return
+	}
+	k.spread += (math.Abs(took-k.mean) - k.spread) * meanWeight
+	k.mean += (took - k.mean) * meanWeight
+}
+
+// canFinish reports whether a request that starts at begin is likely to finish
+// by the deadline.
+func (k *rank) canFinish(begin, deadline time.Time) bool {
+	return deadline.IsZero() || !begin.Add(seconds(k.mean+deviations*k.spread)).After(deadline)
+}
+
+// push queues a ticket behind those of its organisation with earlier or equal
+// deadlines.
+func (k *rank) push(t *Ticket, weight float64) {
+	f := k.flows[t.request.Organisation]
+	if f == nil {
+		f = &flow{}
+		k.flows[t.request.Organisation] = f
+	}
+	f.weight = weight
+	t.flow = f
+	if len(f.tickets) == 0 {
+		f.tag = max(f.tag, k.time)
+		k.active = append(k.active, f)
+	}
+	at := len(f.tickets)
+	for at > 0 && t.before(f.tickets[at-1]) {
+		at--
+	}
+	f.tickets = slices.Insert(f.tickets, at, t)
+	k.queued++
+}
+
+// before reports whether t has an earlier deadline than u.
+func (t *Ticket) before(u *Ticket) bool {
+	if t.request.Deadline.IsZero() {
+		return false
+	}
+	return u.request.Deadline.IsZero() || t.request.Deadline.Before(u.request.Deadline)
+}
+
+// pop removes the next ticket: the first of the organisation with the lowest tag.
+func (k *rank) pop() *Ticket {
+	f := k.active[0]
+	for _, g := range k.active[1:] {
+		if g.tag < f.tag {
+			f = g
+		}
+	}
+	t := f.tickets[0]
+	k.time = f.tag
+	f.tag += max(k.mean, 1e-6) / f.weight
+	k.take(f, 0)
+	return t
+}
+
+// last returns the ticket to give up first: the last of the organisation with
+// the longest queue for its weight.
+func (k *rank) last() *Ticket {
+	var f *flow
+	for _, g := range k.active {
+		if f == nil || float64(len(g.tickets))/g.weight > float64(len(f.tickets))/f.weight {
+			f = g
+		}
+	}
+	return f.tickets[len(f.tickets)-1]
+}
+
+func (k *rank) remove(t *Ticket) {
+	if i := slices.Index(t.flow.tickets, t); i >= 0 {
+		k.take(t.flow, i)
+	}
+}
+
+// take removes the ticket at an index of a flow.
+func (k *rank) take(f *flow, i int) {
+	f.tickets = slices.Delete(f.tickets, i, i+1)
+	k.queued--
+	if len(f.tickets) == 0 {
+		k.active = slices.DeleteFunc(k.active, func(g *flow) bool { return g == f })
+	}
+}
--- /dev/null
+++ b/core/choice/choice.go
@@ -0,0 +1,329 @@
+// Package choice picks the target of each attempt.
+//
+// Load reports are stale when they arrive, so the entry's view only narrows the
+// choice; the target's daemon, which knows its slots exactly, confirms it. Pick
+// samples a few targets, prefers near ones, and returns the one with the least
+// expected delay together with the time by which the target's daemon must have a
+// slot. A daemon without a slot refuses the attempt as not run and reports its
+// load, and the entry picks again among the others. When the tries are used up,
+// the attempt queues at the target whose report promises the shortest wait.
+//
+// Traffic leaves the own region only when the reported wait at home exceeds the
+// extra delay there and back. The decision is made per request on the report
+// that came with the refusal, so that it does not oscillate with stale reports.
+package choice
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+)
+
+const (
+	// sampled is the number of targets compared per tier in one pick.
+	sampled = 2
+	// DefaultTries is the number of attempts that must find a free slot before
+	// an attempt queues.
+	DefaultTries = 5
+	// maxTried bounds the targets that one request can exclude.
+	maxTried = 16
+)
+
+// tier orders targets by distance.
+type tier int
+
+const (
+	ownZone tier = iota
+	ownRegion
+	elsewhere
+	tiers
+)
+
+// Delays are the one-way delays to a target by distance.
+type Delays struct {
+	OwnZone, OwnRegion, Elsewhere time.Duration
+}
+
+// Request describes what is to be sent.
+type Request struct {
+	Service  fleet.Service
+	Deadline time.Time
+	// Urgent requests are compared by the wait of the most urgent rank.
+	Urgent bool
+	// Tried are the targets that refused the request, in order.
+	Tried []fleet.DaemonID
+	// Hint is a target that a refusal named, if any.
+	Hint fleet.DaemonID
+}
+
+// Choice is a picked target. The caller ends it with Done.
+type Choice struct {
+	Target *fleet.Target
+	// StartBy is the time by which the target's daemon must give a slot or
+	// refuse; zero when the attempt may queue until its deadline.
+	StartBy time.Time
+	node    *node
+}
+
+// Result is what became of an attempt.
+type Result struct {
+	// Refused attempts were answered 'not run' by the target's daemon.
+	Refused bool
+	// Failed attempts ended in an error of the target or its connection.
+	Failed bool
+}
+
+// Chooser picks targets. It is safe for concurrent use. Targets are kept in an
+// immutable view that SetTargets replaces; the state of each target is a shard
+// of its own.
+type Chooser struct {
+	// Now is the clock, time.Now by default.
+	Now func() time.Time
+	// Rand returns uniform random bits, rand.Uint64 by default.
+	Rand func() uint64
+
+	place  fleet.Place
+	delays Delays
+	tries  int
+
+	mu   sync.Mutex // serialises SetTargets
+	view atomic.Pointer[view]
+}
+
+// view is the set of known targets. It is never changed.
+type view struct {
+	groups map[fleet.Service]*group
+	nodes  map[fleet.DaemonID]*node
+}
+
+type group struct {
+	tiers [tiers][]*node
+	count int
+}
+
+// Option sets a property of a new Chooser.
+type Option func(*Chooser)
+
+// WithDelays sets the one-way delays by distance.
+func WithDelays(d Delays) Option { return func(c *Chooser) { c.delays = d } }
+
+// WithTries sets the number of attempts that must find a free slot before an
+// attempt queues.
+func WithTries(n int) Option { return func(c *Chooser) { c.tries = min(n, maxTried) } }
+
+// New returns a Chooser for an entry at the given place.
+func New(place fleet.Place, options ...Option) *Chooser {
+	c := &Chooser{
+		Now:   time.Now,
+		Rand:  rand.Uint64,
+		place: place,
+		delays: Delays{
+			OwnRegion: 500 * time.Microsecond,
+			Elsewhere: 8 * time.Millisecond,
+		},
+		tries: DefaultTries,
+	}
+	c.view.Store(&view{})
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// SetTargets replaces the set of known targets. The state of a target is kept
+// as long as its incarnation stays the same.
+func (c *Chooser) SetTargets(targets []fleet.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	previous := c.view.Load()
+	next := &view{
+		groups: make(map[fleet.Service]*group),
+		nodes:  make(map[fleet.DaemonID]*node, len(targets)),
+	}
+	for i := range targets {
+		t := targets[i]
+		n := newNode(&t, c.tier(t.Place), previous.nodes[t.Daemon])
+		next.nodes[t.Daemon] = n
+		if !t.State.TakesWork() {
+			continue
+		}
+		g := next.groups[t.Service]
+		if g == nil {
+			g = &group{}
+			next.groups[t.Service] = g
+		}
+		g.tiers[n.tier] = append(g.tiers[n.tier], n)
+		g.count++
+	}
+	c.view.Store(next)
+}
+
+func (c *Chooser) tier(p fleet.Place) tier {
+	switch {
+	case p.Region != c.place.Region:
+		return elsewhere
+	case p.AvailabilityZone != c.place.AvailabilityZone:
+		return ownRegion
+	}
+	return ownZone
+}
+
+func (c *Chooser) delay(t tier) time.Duration {
+	switch t {
+	case ownZone:
+		return c.delays.OwnZone
+	case ownRegion:
+		return c.delays.OwnRegion
+	case elsewhere, tiers:
+	}
+	return c.delays.Elsewhere
+}
+
+// Observe records a load report. Reports of other incarnations and reports
+// older than the last one are ignored.
+func (c *Chooser) Observe(l fleet.Load) {
+	if n := c.view.Load().nodes[l.Daemon]; n != nil {
+		n.observe(l, c.Now())
+	}
+}
+
+// Pick returns the target for the next attempt of a request, or an
+// *outcome.Error with NotRun when no target takes work.
+func (c *Chooser) Pick(r Request) (Choice, error) {
+	g := c.view.Load().groups[r.Service]
+	if g == nil {
+		return Choice{}, errNoTarget
+	}
+	now := c.Now()
+	if n := c.hinted(r); n != nil {
+		return n.send(now.Add(c.delay(n.tier))), nil
+	}
+	if len(r.Tried) < c.tries {
+		if n := c.sample(g, r, now); n != nil {
+			return n.send(now.Add(c.delay(n.tier))), nil
+		}
+	}
+	n := c.shortest(g, r, now)
+	if n == nil {
+		return Choice{}, errNoTarget
+	}
+	return n.send(time.Time{}), nil
+}
+
+// Done ends a choice.
+func (c *Chooser) Done(choice Choice, r Result) {
+	if choice.node != nil {
+		choice.node.done(r)
+	}
+}
+
+var errNoTarget = outcome.New(outcome.NotRun, outcome.NoTarget, "no known target of the service takes work")
+
+// hinted returns the hinted target when it is worth an attempt.
+func (c *Chooser) hinted(r Request) *node {
+	if r.Hint == "" || len(r.Tried) >= c.tries || tried(r.Tried, r.Hint) {
+		return nil
+	}
+	n := c.view.Load().nodes[r.Hint]
+	if n == nil || n.target.Service != r.Service || !n.takesWork() || n.failing() {
+		return nil
+	}
+	return n
+}
+
+// sample returns the best of a few targets that were not tried yet, nearest
+// tiers first, or nil when it is better to queue.
+func (c *Chooser) sample(g *group, r Request, now time.Time) *node {
+	var best *node
+	var least time.Duration
+	for t := ownZone; t < tiers; t++ {
+		if t == elsewhere && (best != nil || !c.spills(g, r, now)) {
+			break
+		}
+		nodes := g.tiers[t]
+		for range min(sampled, len(nodes)) {
+			n := c.untried(nodes, r.Tried)
+			if n == nil {
+				break
+			}
+			if cost := n.cost() + 2*c.delay(t); best == nil || cost < least {
+				best, least = n, cost
+			}
+		}
+	}
+	return best
+}
+
+// untried returns a random target that takes work and was not tried yet.
+func (c *Chooser) untried(nodes []*node, exclude []fleet.DaemonID) *node {
+	if len(nodes) == 0 {
+		return nil
+	}
+	bits := c.Rand()
+	at := int(bits % uint64(len(nodes)))
+	for range min(len(nodes), len(exclude)+sampled) {
+		n := nodes[at]
+		if n.takesWork() && !tried(exclude, n.target.Daemon) && n.admitted(bits>>40) {
+			return n
+		}
+		if at++; at == len(nodes) {
+			at = 0
+		}
+	}
+	return nil
+}
+
+// spills reports whether a request should leave the region: there is no target
+// at home, or the shortest reported wait at home exceeds the way there and back.
+func (c *Chooser) spills(g *group, r Request, now time.Time) bool {
+	n := c.shortestOf(g, r, now, ownZone, ownRegion)
+	return n == nil || n.wait(r.Urgent, now) > 2*c.delays.Elsewhere
+}
+
+// shortest returns the target at which to queue.
+func (c *Chooser) shortest(g *group, r Request, now time.Time) *node {
+	return c.shortestOf(g, r, now, ownZone, elsewhere)
+}
+
+// shortestOf returns, of the targets tried and a few others in a range of
+// tiers, the one with the least wait and delay.
+func (c *Chooser) shortestOf(g *group, r Request, now time.Time, from, to tier) *node {
+	var best *node
+	var least time.Duration
+	consider := func(n *node) {
+		cost := n.wait(r.Urgent, now) + 2*c.delay(n.tier) + n.penalty()
+		if best == nil || cost < least {
+			best, least = n, cost
+		}
+	}
+	nodes := c.view.Load().nodes
+	for _, id := range r.Tried {
+		if n := nodes[id]; n != nil && n.tier >= from && n.tier <= to && n.takesWork() {
+			consider(n)
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for t := from; t <= to; t++ {
+		for range min(sampled, len(g.tiers[t])) {
+			if n := c.untried(g.tiers[t], nil); n != nil {
+				consider(n)
+			}
+		}
+	}
+	return best
+}
+
+func tried(exclude []fleet.DaemonID, id fleet.DaemonID) bool {
+	for _, t := range exclude {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/choice/choice_test.go
@@ -0,0 +1,116 @@
+package choice_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pollenscale/core/choice"
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+
+	"github.com/matryer/is"
+)
+
+func home() fleet.Place { return fleet.Place{Region: "scl", AvailabilityZone: "scl-1"} }
+
+// TestScripts guards against picks of targets that take no work, were tried,
+// fail, or are further away than needed.
+func TestScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/scripts.json")
+	is.New(t).NoErr(err)
+	var cases []struct {
+		Name    string
+		Targets []fleet.Target
+		Loads   []fleet.Load
+		Fail    fleet.DaemonID
+		Tried   []fleet.DaemonID
+		Hint    fleet.DaemonID
+		// Want is the least and the greatest number of picks of 1,000 by target.
+		Want map[fleet.DaemonID][2]int
+		// WantQueues says that the pick may queue at the target.
+		WantQueues bool
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1, 0)
+			chooser := choice.New(home())
+			chooser.Now = func() time.Time { return now }
+			chooser.SetTargets(c.Targets)
+			for _, l := range c.Loads {
+				chooser.Observe(l)
+			}
+			got := map[fleet.DaemonID]int{}
+			for range 1000 {
+				picked, err := chooser.Pick(choice.Request{Service: "agenda", Tried: c.Tried, Hint: c.Hint})
+				if err != nil {
+					var refused *outcome.Error
+					is.True(errors.As(err, &refused))
+					is.Equal(refused.Outcome, outcome.NotRun)
+					got["none"]++
+					continue
+				}
+				id := picked.Target.Daemon
+				got[id]++
+				is.Equal(picked.StartBy.IsZero(), c.WantQueues)
+				chooser.Done(picked, choice.Result{Failed: id == c.Fail})
+			}
+			for id, want := range c.Want {
+				if got[id] < want[0] || got[id] > want[1] {
+					t.Errorf("%d picks of %s, want %v", got[id], id, want)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPick guards the goal of 1 µs and no allocation per pick.
+func BenchmarkPick(b *testing.B) {
+	for _, known := range []int{10, 100, 3400} {
+		b.Run(fmt.Sprint(known), func(b *testing.B) {
+			chooser := choice.New(home())
+			chooser.SetTargets(fleetOf(known))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				r := choice.Request{Service: "agenda"}
+				for pb.Next() {
+					c, err := chooser.Pick(r)
+					if err != nil {
+						b.Error(err)
+					}
+					chooser.Done(c, choice.Result{})
+				}
+			})
+		})
+	}
+}
+
+// TestPickAllocates guards against an allocation per pick.
+func TestPickAllocates(t *testing.T) {
+	chooser := choice.New(home())
+	chooser.SetTargets(fleetOf(100))
+	allocations := testing.AllocsPerRun(1000, func() {
+		c, _ := chooser.Pick(choice.Request{Service: "agenda"})
+		chooser.Done(c, choice.Result{})
+	})
+	is.New(t).Equal(allocations, 0.0)
+}
+
+func fleetOf(n int) []fleet.Target {
+	var targets []fleet.Target
+	for i := range n {
+		place := fleet.Place{Region: "scl", AvailabilityZone: fleet.AvailabilityZone(fmt.Sprint("scl-", i%2))}
+		if i%3 != 0 {
+			place.Region = "gru"
+		}
+		targets = append(targets, fleet.Target{
+			Daemon: fleet.DaemonID(fmt.Sprint("d", i)), Place: place, Service: "agenda", State: fleet.Serving, Slots: 9,
+		})
+	}
+	return targets
+}
--- /dev/null
+++ b/core/limit/limit.go
@@ -0,0 +1,166 @@
+// Package limit adapts the number of requests that a target runs at the same
+// time.
+//
+// A Limit starts low and doubles while the target keeps its speed, so that a
+// cold target is warmed up by work that it can serve. From then on it compares
+// the service time of each window of requests with the long-term service time:
+// a target that slows down as concurrency rises is beyond its capacity, and the
+// limit falls. The number of slots that a target announces, when it announces
+// any, is an upper bound. A target that fails is reduced to a single request at
+// a time until it succeeds again, so that failing fast attracts no traffic.
+package limit
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"pollenscale/core/fleet"
+)
+
+const (
+	// start is the limit of a target about which nothing is known.
+	start = 2
+	// unannounced bounds the limit of a target that announces no slots.
+	unannounced = 1024
+	// minWindow is the least number of samples in a window. The mean logarithm
+	// of 16 heavy-tailed service times has a standard error near 0.25.
+	minWindow = 16
+	// tolerance is the rise of service time that is taken as noise.
+	tolerance = 1.5
+	// longWeight is the weight of one window in the long-term service time.
+	longWeight = 0.05
+	// failureWeight is the weight of one answer in the failure ratio.
+	failureWeight = 0.1
+	// failing is the failure ratio from which a target is reduced to one request.
+	failing = 0.5
+)
+
+// Limit is the concurrency limit of one target. It is safe for concurrent use.
+type Limit struct {
+	mu       sync.Mutex
+	slots    float64 // announced by the target, 0 when unknown
+	value    float64
+	warming  bool
+	long     float64 // long-term mean of the logarithm of service times
+	sum      float64 // logarithms of the current window
+	samples  int
+	peak     int // highest concurrency in the current window
+	failures float64
+}
+
+// New returns a limit for a target that announces the given number of slots,
+// or 0 when it announces none.
+func New(slots fleet.Slots) *Limit {
+	return &Limit{slots: float64(slots), value: start, warming: true}
+}
+
+// Warm returns a limit for a target that is already at full speed.
+func Warm(slots fleet.Slots) *Limit {
+	l := New(slots)
+	if slots > 0 {
+		l.value = float64(slots)
+		l.warming = false
+	}
+	return l
+}
+
+// SetSlots records the number of slots that the target announces.
+func (l *Limit) SetSlots(slots fleet.Slots) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slots = float64(slots)
+}
+
+// Cool restarts the warm-up, for a target that was restarted.
+func (l *Limit) Cool() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*l = Limit{slots: l.slots, value: start, warming: true}
+}
+
+// Value returns the number of requests that may run at the same time, at least 1.
+func (l *Limit) Value() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current()
+}
+
+// Failing reports whether the target fails most of its requests.
+func (l *Limit) Failing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures >= failing
+}
+
+// Observe records the answer to a request that took the given time while the
+// given number of requests ran, itself included.
+func (l *Limit) Observe(took time.Duration, running int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ok {
+		l.failures += (1 - l.failures) * failureWeight
+		return
+	}
+	l.failures -= l.failures * failureWeight
+	l.peak = max(l.peak, running)
+	l.sum += math.Log(max(took.Seconds(), 1e-6))
+	l.samples++
+	if l.samples >= max(minWindow, int(l.value)) {
+		l.closeWindow()
+	}
+}
+
+func (l *Limit) current() int {
+	if l.failures >= failing {
+		return 1
+	}
+	return max(1, int(l.value))
+}
+
+// closeWindow moves the limit by the samples of one window.
+func (l *Limit) closeWindow() {
+	short := l.sum / float64(l.samples)
+	saturated := l.peak >= int(l.value)
+	l.sum, l.samples, l.peak = 0, 0, 0
+	if l.long == 0 {
+		l.long = short
+	}
+	ratio := tolerance * math.Exp(l.long-short)
+	l.learn(short)
+	switch {
+	case ratio < 1:
+		l.warming = false
+		l.value *= max(0.5, ratio)
+	case saturated && l.warming:
+		l.value *= 2
+	case saturated:
+		l.value += math.Sqrt(l.value)
+	}
+	l.value = min(max(l.value, l.least()), l.most())
+}
+
+// learn moves the long-term service time. It falls at once, so that the cold
+// phase of a target does not count as its normal speed.
+func (l *Limit) learn(short float64) {
+	l.long += (short - l.long) * longWeight
+	if short < l.long-math.Log(2) {
+		l.long = short
+	}
+}
+
+// least keeps half of the announced slots open: a target that a neighbour slows
+// down to half its speed does not gain from lower concurrency.
+func (l *Limit) least() float64 {
+	if l.warming {
+		return start
+	}
+	return max(1, l.slots/2)
+}
+
+func (l *Limit) most() float64 {
+	if l.slots > 0 {
+		return l.slots
+	}
+	return unannounced
+}
