--- a/core/config/holder.go
+++ b/core/config/holder.go
@@ -98,56 +98,125 @@
 // changed: a change that is already in force or older is passed over. The error
 // is ErrGap, ErrRefused or nil.
 func (h *Holder) Apply(change Change) (bool, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	have := h.Snapshot()
-	if change.Number <= have.Number {
-		return false, h.sameVersion(have.Version, change.Version)
-	}
-	if change.Number != have.Number+1 {
-		return false, errors.Wrapf(ErrGap, "version %d after %d", change.Number, have.Number)
-	}
-	if err := h.install(Snapshot{Version: change.Version, Documents: have.Documents.With(change.Documents)}); err != nil {
-		return false, err
-	}
-	h.remember(change)
-	return true, nil
+	return h.ApplyUpdate(Update{Changes: []Change{change}})
 }
 
 // ApplySnapshot puts a version in force, whatever lies between. It reports
-// whether the version in force changed. The error is ErrRefused or nil.
+// whether the version in force changed. The error is ErrGap, ErrRefused or nil.
 func (h *Holder) ApplySnapshot(snapshot Snapshot) (bool, error) {
+	return h.ApplyUpdate(Update{Snapshot: &snapshot})
+}
+
+// ApplyUpdate puts the last valid version of the update in force, none of those
+// before it. It reports whether the version in force changed, which it can
+// together with an error.
+func (h *Holder) ApplyUpdate(u Update) (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	have := h.Snapshot()
-	if snapshot.Number <= have.Number {
-		return false, h.sameVersion(have.Version, snapshot.Version)
+	s := steps{holder: h, have: have.Version, at: have, history: h.history}
+	if u.Snapshot != nil {
+		s.snapshot(*u.Snapshot)
+	}
+	for i := 0; i < len(u.Changes) && !s.stopped; i++ {
+		s.change(u.Changes[i])
+	}
+	if s.best == nil {
+		return false, s.err
 	}
-	if err := h.install(snapshot); err != nil {
-		return false, err
+	if have.Number == 0 && s.at.Number < h.announced {
+		return false, errors.Wrapf(ErrGap, "version %d is older than the announced %d", s.at.Number, h.announced)
+	}
+	h.history = s.history
+	h.install(s.best)
+	return true, s.err
+}
+
+// steps follows an update from version to version.
+type steps struct {
+	holder *Holder
+	have   Version
+	// at is the version reached, valid or not; best is the last valid one.
+	at   Snapshot
+	best *held
+	// history leads to best without a gap.
+	history []Change
+	// stopped is set when later changes cannot be applied.
+	stopped bool
+	err     error
+}
+
+func (s *steps) snapshot(next Snapshot) {
+	if next.Number <= s.at.Number {
+		s.known(next.Version)
+		return
 	}
-	if snapshot.Number == have.Number+1 {
-		h.remember(Change{Version: snapshot.Version, Documents: have.Documents.Delta(snapshot.Documents)})
+	change := Change{Version: next.Version}
+	if next.Number == s.at.Number+1 {
+		change.Documents = s.at.Documents.Delta(next.Documents)
 	} else {
-		h.history = nil
+		s.history = nil
 	}
-	return true, nil
+	s.enter(next, change)
 }
 
-// ApplyUpdate applies what a peer or the store returned for After.
-func (h *Holder) ApplyUpdate(u Update) (changed bool, err error) {
-	if u.Snapshot != nil {
-		changed, err = h.ApplySnapshot(*u.Snapshot)
+func (s *steps) change(c Change) {
+	if c.Number <= s.at.Number {
+		s.known(c.Version)
+		return
+	}
+	if c.Number != s.at.Number+1 {
+		s.err = errors.Wrapf(ErrGap, "version %d after %d", c.Number, s.at.Number)
+		s.stopped = true
+		return
+	}
+	s.enter(Snapshot{Version: c.Version, Documents: s.at.Documents.With(c.Documents)}, c)
+}
+
+// known refuses another configuration under the number in force.
+func (s *steps) known(got Version) {
+	if got.Number == s.have.Number && got.Digest != s.have.Digest {
+		s.refuse("version %d has digest %.12s, in force is %.12s", got.Number, got.Digest, s.have.Digest)
+		s.stopped = true
 	}
-	for _, c := range u.Changes {
-		if err != nil {
-			return changed, err
-		}
-		var one bool
-		one, err = h.Apply(c)
-		changed = changed || one
+}
+
+func (s *steps) enter(next Snapshot, c Change) {
+	if got := next.Documents.Digest(); got != next.Digest {
+		s.refuse("version %d has digest %.12s, announced was %.12s", next.Number, got, next.Digest)
+		s.stopped = true
+		return
 	}
-	return changed, err
+	s.at = next
+	set, err := Render(next.Number, next.Documents)
+	if err != nil {
+		s.refuse("version %d: %v", next.Number, err)
+		// The change must not be propagated, so that the history starts anew.
+		s.history = nil
+		return
+	}
+	s.best = &held{snapshot: next, set: set}
+	s.err = nil
+	s.remember(c)
+}
+
+func (s *steps) refuse(format string, args ...any) {
+	s.holder.refused.Add(1)
+	s.err = errors.Mark(errors.Newf("configuration refused: %s", fmt.Sprintf(format, args...)), ErrRefused)
+}
+
+// remember keeps the change for peers if it follows the ones kept. A change
+// after a gap has no Documents.
+func (s *steps) remember(c Change) {
+	if c.Documents == nil {
+		return
+	}
+	keep := s.holder.Keep
+	if keep == 0 {
+		keep = defaultKeep
+	}
+	extra := max(0, len(s.history)+1-keep)
+	s.history = append(append([]Change(nil), s.history[extra:]...), c)
 }
 
 // Update leads from some version to a later one: a snapshot, if set, and then
@@ -178,47 +247,12 @@
 	return Update{Snapshot: &have}
 }
 
-// sameVersion refuses another configuration under the number in force.
-func (h *Holder) sameVersion(have, got Version) error {
-	if got.Number == have.Number && got.Digest != have.Digest {
-		return h.refuse("version %d has digest %.12s, in force is %.12s", got.Number, got.Digest, have.Digest)
-	}
-	return nil
-}
-
-func (h *Holder) refuse(format string, args ...any) error {
-	h.refused.Add(1)
-	return errors.Mark(errors.Newf("configuration refused: %s", fmt.Sprintf(format, args...)), ErrRefused)
-}
-
-func (h *Holder) install(next Snapshot) error {
-	have := h.Version()
-	if have.Number == 0 && next.Number < h.announced {
-		return errors.Wrapf(ErrGap, "version %d is older than the announced %d", next.Number, h.announced)
-	}
-	if got := next.Documents.Digest(); got != next.Digest {
-		return h.refuse("version %d has digest %.12s, announced was %.12s", next.Number, got, next.Digest)
-	}
-	set, err := Render(next.Number, next.Documents)
-	if err != nil {
-		return h.refuse("version %d: %v", next.Number, err)
-	}
-	invariant.Check(next.Number > have.Number, "config_never_reverts", "version %d after %d", next.Number, have.Number)
-	h.current.Store(&held{snapshot: next, set: set})
-	h.announced = max(h.announced, next.Number)
+func (h *Holder) install(next *held) {
+	have, number := h.Version().Number, next.snapshot.Number
+	invariant.Check(number > have, "config_never_reverts", "version %d after %d", number, have)
+	h.current.Store(next)
+	h.announced = max(h.announced, number)
 	if h.OnChange != nil {
-		h.OnChange(set)
-	}
-	return nil
-}
-
-func (h *Holder) remember(c Change) {
-	keep := h.Keep
-	if keep == 0 {
-		keep = defaultKeep
-	}
-	h.history = append(h.history, c)
-	if extra := len(h.history) - keep; extra > 0 {
-		h.history = append([]Change(nil), h.history[extra:]...)
+		h.OnChange(next.set)
 	}
 }
--- a/core/config/publish.go
+++ b/core/config/publish.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// KeepVersions is how many past versions can be shown and undone.
-	KeepVersions = 4096
+	// defaultKeepVersions is about half a day of 9,200 publishes a day.
+	defaultKeepVersions = 4096
 	// maxPublishAttempts bounds the attempts after binding 'not published'
 	// answers.
 	maxPublishAttempts = 4
@@ -72,10 +72,16 @@
 	Archive
 	// Operator names who publishes, as other operators see it.
 	Operator string
+	// KeepVersions is how many past versions can be shown and rolled back to; 0
+	// means 4096.
+	KeepVersions uint64
 	// Now defaults to time.Now.
 	Now func() time.Time
 	// NewID returns the id of a publish; the default is a UUIDv7.
 	NewID func() PublishID
+	// Pause waits about d between calls that failed, or until the context ends;
+	// the default adds jitter.
+	Pause func(ctx context.Context, d time.Duration) error
 }
 
 // Plan is a publish before it is carried out.
@@ -151,7 +157,7 @@
 			return version, err
 		}
 		last = err
-		if err := pause(ctx, firstPause); err != nil {
+		if err := p.pause(ctx, firstPause); err != nil {
 			break
 		}
 	}
@@ -289,7 +295,7 @@
 		if err == nil {
 			return ownRow(result.Conflicts, id)
 		}
-		if pauseErr := pause(ctx, wait); pauseErr != nil {
+		if pauseErr := p.pause(ctx, wait); pauseErr != nil {
 			return false, errors.Wrapf(ErrUnsettled, "publish %s: %v", id, err)
 		}
 	}
@@ -354,12 +360,16 @@
 // sweep removes versions beyond those kept. It runs at snapshot versions alone
 // and its failure is made up for by the next one.
 func (p *Publisher) sweep(ctx context.Context, now record) {
-	if now.Base != now.Version || now.Version <= KeepVersions+snapshotEvery {
+	keep := p.KeepVersions
+	if keep == 0 {
+		keep = defaultKeepVersions
+	}
+	if now.Base != now.Version || now.Version <= keep+snapshotEvery {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
-	oldest := now.Version - KeepVersions - snapshotEvery
+	oldest := now.Version - keep - snapshotEvery
 	rows, err := p.Tables.List(ctx, table, publishPrefix, "", sweepRows)
 	if err != nil {
 		return
@@ -398,8 +408,10 @@
 	return PublishID(id.String()), errors.Wrap(err, "make a publish id")
 }
 
-// pause waits for a random time around d.
-func pause(ctx context.Context, d time.Duration) error {
+func (p *Publisher) pause(ctx context.Context, d time.Duration) error {
+	if p.Pause != nil {
+		return p.Pause(ctx, d)
+	}
 	timer := time.NewTimer(d/2 + rand.N(d))
 	defer timer.Stop()
 	select {
