--- a/core/config/config.go
+++ b/core/config/config.go
@@ -111,7 +111,7 @@
 // check reports documents with a path that is not allowed, and sizes beyond
 // the limits.
 func (d Documents) check() error {
-	var problems strictjson.Problems
+	var problems strictjson.Errors
 	total := 0
 	for _, name := range d.paths() {
 		at := strictjson.Position{File: name}
--- a/core/config/declaration.go
+++ b/core/config/declaration.go
@@ -89,8 +89,8 @@
 
 // check reports what no single value shows: ranks and routes that contradict
 // each other.
-func (s *serviceSpec) check(at strictjson.Positions) strictjson.Problems {
-	var problems strictjson.Problems
+func (s *serviceSpec) check(at strictjson.Positions) strictjson.Errors {
+	var problems strictjson.Errors
 	fail := func(path, format string, args ...any) {
 		problems = append(problems, at.Problem(path, format, args...))
 	}
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -12,7 +12,7 @@
 )
 
 // Render fills in the templates and returns the policy of a version. The error
-// is strictjson.Problems, with one entry for each mistake.
+// is strictjson.Errors, with one entry for each mistake.
 //
 // A parameter's value is taken from the organisation's entry for the service,
 // else from the organisation, else from the service, else from the default.
@@ -64,7 +64,7 @@
 	organisations map[string]declared[organisationFile]
 	// given holds file and name of the organisations' parameters in use.
 	given    map[string]bool
-	problems strictjson.Problems
+	problems strictjson.Errors
 }
 
 func (r *renderer) add(p ...strictjson.Problem) {
@@ -100,7 +100,7 @@
 	d := declared[T]{file: file}
 	node, err := strictjson.Parse(file, body)
 	if err != nil {
-		r.add(asProblems(err)...)
+		r.add(asErrors(err)...)
 		return d
 	}
 	positions, problems := strictjson.Decode(node, &d.value)
@@ -109,11 +109,11 @@
 	return d
 }
 
-func asProblems(err error) strictjson.Problems {
-	if p, ok := err.(strictjson.Problems); ok { //nolint:errorlint // Parse returns the type itself
+func asErrors(err error) strictjson.Errors {
+	if p, ok := err.(strictjson.Errors); ok { //nolint:errorlint // Parse returns the type itself
 		return p
 	}
-	return strictjson.Problems{{Message: err.Error()}}
+	return strictjson.Errors{{Message: err.Error()}}
 }
 
 // service renders one service with its organisations, or returns nil after
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -33,7 +33,7 @@
 
 // Decode fills the struct that out points to from the node and checks its
 // validate tags. Field names must match exactly.
-func Decode(node *Node, out any) (Positions, Problems) {
+func Decode(node *Node, out any) (Positions, Errors) {
 	d := &decoder{positions: Positions{}}
 	d.value(node, reflect.ValueOf(out).Elem(), "")
 	if len(d.problems) == 0 {
@@ -54,7 +54,7 @@
 
 type decoder struct {
 	positions Positions
-	problems  Problems
+	problems  Errors
 }
 
 func (d *decoder) fail(node *Node, path, format string, args ...any) {
@@ -67,7 +67,7 @@
 		out.Set(reflect.ValueOf(node))
 		return
 	}
-	switch out.Kind() {
+	switch out.Kind() { //nolint:exhaustive // the others are scalars
 	case reflect.Struct:
 		d.object(node, out, path)
 	case reflect.Map:
@@ -202,13 +202,13 @@
 }
 
 // Check applies the validate tags of the struct that out points to.
-func Check(out any, positions Positions) Problems {
+func Check(out any, positions Positions) Errors {
 	err := checker.Struct(out)
 	var invalid validator.ValidationErrors
 	if !errors.As(err, &invalid) {
 		return nil
 	}
-	var problems Problems
+	var problems Errors
 	for _, e := range invalid {
 		_, path, _ := strings.Cut(e.Namespace(), ".")
 		problems = append(problems, positions.Problem(path, "%s, is %v", allowed(e), quoted(e.Value())))
@@ -226,12 +226,10 @@
 // allowed says in words what the tag asks for.
 func allowed(e validator.FieldError) string {
 	unit := ""
-	switch e.Kind() {
-	case reflect.Slice, reflect.Map:
+	if k := e.Kind(); k == reflect.Slice || k == reflect.Map {
 		unit = " entries"
-	case reflect.String:
+	} else if k == reflect.String {
 		unit = " characters"
-	default:
 	}
 	switch e.Tag() {
 	case "required":
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -49,11 +49,11 @@
 	return p.Position.String() + ": " + p.Field + ": " + p.Message
 }
 
-// Problems are the mistakes found; as an error it has one line for each.
-type Problems []Problem
+// Errors are the mistakes found; as an error it has one line for each.
+type Errors []Problem
 
 // Error returns one line for each problem.
-func (p Problems) Error() string {
+func (p Errors) Error() string {
 	lines := make([]string, len(p))
 	for i := range p {
 		lines[i] = p[i].String()
@@ -62,7 +62,7 @@
 }
 
 // Err returns the problems as an error, or nil when there are none.
-func (p Problems) Err() error {
+func (p Errors) Err() error {
 	if len(p) == 0 {
 		return nil
 	}
@@ -105,11 +105,11 @@
 	p.decoder.UseNumber()
 	node, err := p.value(0)
 	if err != nil {
-		return nil, Problems{p.problem(err)}
+		return nil, Errors{p.problem(err)}
 	}
 	end := p.start()
 	if _, err := p.decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, Problems{{Position: p.at(end), Message: "unexpected data after the value"}}
+		return nil, Errors{{Position: p.at(end), Message: "unexpected data after the value"}}
 	}
 	return node, nil
 }
@@ -134,16 +134,16 @@
 	decoder *json.Decoder
 }
 
-// errSyntax carries a mistake found by the parser itself.
-type errSyntax struct {
+// syntaxError carries a mistake found by the parser itself.
+type syntaxError struct {
 	at      int
 	message string
 }
 
-func (e *errSyntax) Error() string { return e.message }
+func (e *syntaxError) Error() string { return e.message }
 
 func (p *parser) problem(err error) Problem {
-	var own *errSyntax
+	var own *syntaxError
 	if errors.As(err, &own) {
 		return Problem{Position: p.at(own.at), Message: own.message}
 	}
@@ -177,7 +177,7 @@
 func (p *parser) value(depth int) (*Node, error) {
 	start := p.start()
 	if depth > maxDepth {
-		return nil, &errSyntax{start, "nested too deeply"}
+		return nil, &syntaxError{start, "nested too deeply"}
 	}
 	token, err := p.decoder.Token()
 	if err != nil {
@@ -226,7 +226,7 @@
 		}
 		name, ok := token.(string)
 		if !ok || seen[name] {
-			return &errSyntax{start, fmt.Sprintf("field %q is repeated", name)}
+			return &syntaxError{start, fmt.Sprintf("field %q is repeated", name)}
 		}
 		seen[name] = true
 		value, err := p.value(depth + 1)
