--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -67,15 +67,15 @@
 	held  map[Name]*entry
 	// busy is when a lease held by another daemon can be free again, by the
 	// clock of this process.
-	busy map[Name]busyUntil
-	clock     sample
-	failures  int
+	busy     map[Name]busyUntil
+	clock    sample
+	failures int
 }
 
 type entry struct {
-	grant    Grant
-	rec      record
-	version  store.Version
+	grant   Grant
+	rec     record
+	version store.Version
 	leaving bool
 	renewal Reading // when the last renewal that took effect was sent
 }
