--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -196,7 +196,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.keys[key]; e != nil {
+	if e := t.keys[key]; e != nil && !rememberKeys.Off() {
 		answer, err := e.repeat(f, held)
 		return nil, answer, err
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -93,7 +93,7 @@
 	inFlight  map[*Run]bool
 	suspects  map[Fingerprint]time.Time // until when
 	condemned map[Fingerprint]time.Time
-	watched   int // suspects that run here
+	watched   int // runs that were suspects when they started
 }
 
 // Option changes a list under construction.
@@ -156,6 +156,7 @@
 			return nil, err
 		}
 		l.watched++
+		invariant.Check(l.watched == 1, "SuspectAlone", "%d suspects run on the target", l.watched)
 	}
 	r := &Run{list: l, fingerprint: f, suspect: suspect}
 	l.inFlight[r] = true
@@ -180,12 +181,23 @@
 		err.Hint = string(elected)
 		return err
 	}
-	if l.watched > 0 && !oneAtATime.Off() {
+	if l.suspectInFlight() && !oneAtATime.Off() {
 		return outcome.New(outcome.NotRun, outcome.Overloaded, "another suspect runs on the target")
 	}
 	return nil
 }
 
+// suspectInFlight reports whether a request runs here that is a suspect by now,
+// even if it was none when it started.
+func (l *List) suspectInFlight() bool {
+	for r := range l.inFlight {
+		if _, ok := l.suspects[r.fingerprint]; ok || r.suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // Elect returns the daemon whose target runs the suspect f, by the highest hash
 // of both. Daemons with the same members elect the same one.
 func Elect(f Fingerprint, members []fleet.DaemonID) (fleet.DaemonID, bool) {
@@ -227,7 +239,6 @@
 	if r.suspect {
 		l.watched--
 	}
-	invariant.Check(l.watched >= 0, "SuspectsCounted", "%d suspects in flight", l.watched)
 }
 
 // Crash is called when the target has crashed. It ends all runs, marks their
