--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,100 @@
+package spread_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pollenscale/core/spread"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var errDown = errors.New("down")
+
+// invalid is the version that validation refuses.
+const invalid = 13
+
+// holder stands in for the owner of the configuration.
+type holder struct {
+	head      spread.Head
+	announced []spread.Version
+}
+
+func (h *holder) apply(_ context.Context, u spread.Update) error {
+	if u.Head().Version == invalid {
+		return errors.New("validation failed")
+	}
+	h.head = u.Head()
+	return nil
+}
+
+func update(v spread.Version) spread.Update {
+	return spread.Update{Snapshot: &spread.Change{Version: v, Digest: "d"}}
+}
+
+// TestSources guards against the failures named in the cases: versions that are
+// not fetched, that revert, or that spread although they are refused.
+func TestSources(t *testing.T) {
+	data, err := os.ReadFile("testdata/sources.json")
+	is.New(t).NoErr(err)
+	var cases []struct {
+		Name    string
+		Current spread.Version
+		Heard   []struct {
+			Peer    string
+			Version spread.Version
+		}
+		Peers   map[string]spread.Version
+		Store   int
+		Want    spread.Version
+		Fetches []string
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := &holder{head: spread.Head{Version: c.Current, Digest: "d"}}
+				fetches := []string{}
+				s := &spread.Spreader{
+					Current: func() spread.Head { return h.head },
+					Apply:   h.apply,
+					Fetch: func(_ context.Context, peer string, _ spread.Version) (spread.Update, error) {
+						fetches = append(fetches, peer)
+						if v, ok := c.Peers[peer]; ok {
+							return update(v), nil
+						}
+						return spread.Update{}, errDown
+					},
+					Announce: func(head spread.Head) { h.announced = append(h.announced, head.Version) },
+					Members:  func() int { return 10 },
+					Joined:   func() bool { return true },
+				}
+				if c.Store != 0 {
+					s.ReadStore = func(context.Context, spread.Version) (spread.Update, error) {
+						if c.Store < 0 {
+							return spread.Update{}, errDown
+						}
+						return update(spread.Version(c.Store)), nil
+					}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				for _, heard := range c.Heard {
+					s.Heard(heard.Peer, spread.Head{Version: heard.Version, Digest: "d"})
+				}
+				is.True(errors.Is(s.Run(ctx), context.DeadlineExceeded))
+				is.Equal(h.head.Version, c.Want)
+				is.Equal(fetches, c.Fetches)
+				for _, v := range h.announced {
+					is.True(v != invalid) // a refused version is never announced
+				}
+			})
+		})
+	}
+}
