internal/daemon: join membership, choice, admission, keys, uploads and configuration

The daemon took its members from a fixed list and served its queue in no particular order. It now learns members by gossip, picks targets with core/choice, admits requests with core/admit, bounds retries with core/retry, decides about keys with core/lease and core/idempotency when a store is set, and reports crashes to the daemons of its service. A refusal carries the load report of the target's daemon, so that the entry learns from it.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -39,7 +39,10 @@
 	Organisation fleet.Organisation
 	Rank         fleet.Rank
 	// Deadline is in the local clock.
-	Deadline   time.Time
+	Deadline time.Time
+	// StartBy is the time by which the target's daemon gives the attempt a slot
+	// or refuses it; zero when the attempt may queue until the deadline.
+	StartBy    time.Time
 	Idempotent bool
 	Deferred   bool
 	// Key is the idempotency key, or "".
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
+	"pollenscale/core/retry"
 
 	"github.com/cockroachdb/errors"
 )
@@ -81,9 +82,10 @@
 	Settle func(context.Context, fleet.Target, attempt.Ref) (attempt.Settlement, error)
 
 	// Called is told of each request before its first attempt, and MayRetry is
-	// asked before each further attempt. Nil allows Retry.MaxAttempts.
+	// asked before each further attempt, with the failed one. Nil allows
+	// Retry.MaxAttempts.
 	Called   func(*policy.Service, *call.Request)
-	MayRetry func(*policy.Service, *call.Request) bool
+	MayRetry func(*policy.Service, *call.Request, retry.Attempt) bool
 	// Poisoned refuses a request that crashed targets before.
 	Poisoned func(*call.Request) error
 	// Fingerprint identifies a request that is sent again. The head is the
@@ -163,8 +165,9 @@
 		d.Called(service, r)
 	}
 	choice := Choice{Request: r, Policy: service}
+	var failed retry.Attempt
 	var last error
-	for n := 1; ; n++ {
+	for {
 		target, err := d.Choose(ctx, choice)
 		if err != nil {
 			return nil, firstError(last, err)
@@ -173,7 +176,8 @@
 		if err == nil {
 			return answer, nil
 		}
-		if !d.again(ctx, service, r, n, err) {
+		failed = failed.Next(err, r.Idempotent)
+		if !d.again(ctx, service, r, failed, err) {
 			return nil, err
 		}
 		last = err
@@ -182,9 +186,9 @@
 	}
 }
 
-// again reports whether the request may be sent once more after attempt n
+// again reports whether the request may be sent once more after an attempt
 // failed with err.
-func (d *Dispatcher) again(ctx context.Context, service *policy.Service, r *call.Request, n int, err error) bool {
+func (d *Dispatcher) again(ctx context.Context, service *policy.Service, r *call.Request, failed retry.Attempt, err error) bool {
 	var e *outcome.Error
 	if !errors.As(err, &e) || ctx.Err() != nil || !r.Body.Replayable() {
 		return false
@@ -192,13 +196,13 @@
 	if e.Outcome != outcome.NotRun && !r.Idempotent {
 		return false
 	}
-	if !passing[e.Reason] || n >= maxAttempts(service) {
+	if !passing[e.Reason] || failed.Number >= maxAttempts(service) {
 		return false
 	}
-	if e.Reason == outcome.TargetCrashed && n >= crashAttempts {
+	if e.Reason == outcome.TargetCrashed && failed.Number >= crashAttempts {
 		return false
 	}
-	return d.MayRetry == nil || d.MayRetry(service, r)
+	return d.MayRetry == nil || d.MayRetry(service, r, failed)
 }
 
 // passing are the reasons for failures after which another target may succeed.
@@ -276,6 +280,9 @@
 	var e *outcome.Error
 	if errors.As(err, &e) {
 		result.Reason = e.Reason
+		if e.Load != nil {
+			result.Load, result.HasLoad = *e.Load, true
+		}
 	}
 	d.Observe(result)
 }
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -8,6 +8,8 @@
 import (
 	"time"
 
+	"pollenscale/core/fleet"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -62,6 +64,8 @@
 	RetryAt time.Time
 	// Hint is the id of a daemon that is more likely to have room, if any.
 	Hint string
+	// Load is the load report that came with a refusal, nil without one.
+	Load *fleet.Load
 }
 
 // Error returns reason, outcome and detail as one line.
--- /dev/null
+++ b/internal/daemon/balance.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"pollenscale/core/admit"
+	"pollenscale/core/call"
+	"pollenscale/core/choice"
+	"pollenscale/core/dispatch"
+	"pollenscale/core/fleet"
+	"pollenscale/core/limit"
+	"pollenscale/core/outcome"
+	"pollenscale/core/policy"
+	"pollenscale/core/retry"
+	"pollenscale/core/serve"
+)
+
+// refreshInterval is how often the queue looks for requests whose time has run
+// out. Both kinds of flood must shift within 10 ms.
+const refreshInterval = 10 * time.Millisecond
+
+// balance joins the decisions under load: the choice of target and the retry
+// budgets of the entry side, the queue and the limit of the target side.
+type balance struct {
+	chooser *choice.Chooser
+	queue   *admit.Queue
+
+	mu      sync.Mutex
+	budgets map[fleet.Service]*retry.Budget
+	policy  *policy.Set
+}
+
+func newBalance(own fleet.Target, service *policy.Service) *balance {
+	if service == nil {
+		service = &policy.Service{Name: own.Service}
+	}
+	return &balance{
+		chooser: choice.New(own.Place),
+		queue:   admit.New(service, limit.New(own.Slots)),
+		budgets: map[fleet.Service]*retry.Budget{},
+	}
+}
+
+// setPolicy puts a configuration in force for the own service's queue and for
+// the retry budgets.
+func (b *balance) setPolicy(set *policy.Set, own fleet.Service) {
+	if service := set.Service(own); service != nil {
+		b.queue.SetPolicy(service)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.policy = set
+	for name, budget := range b.budgets {
+		if service := set.Service(name); service != nil {
+			budget.SetPolicy(service.Retry)
+		}
+	}
+}
+
+// choose picks the target of the next attempt.
+func (b *balance) choose(_ context.Context, c dispatch.Choice) (fleet.Target, error) {
+	_, position, _ := c.Policy.Rank(c.Request.Rank)
+	picked, err := b.chooser.Pick(choice.Request{
+		Service:  c.Request.Service,
+		Deadline: c.Request.Deadline,
+		Urgent:   position == 0,
+		Tried:    c.Tried,
+		Hint:     c.Hint,
+	})
+	if err != nil {
+		return fleet.Target{}, err
+	}
+	c.Request.StartBy = picked.StartBy
+	return *picked.Target, nil
+}
+
+// observe records how an attempt ended. The results of requests that were
+// forwarded to a key's owner say nothing about a target.
+func (b *balance) observe(r dispatch.Result) {
+	if r.HasLoad {
+		b.chooser.Observe(r.Load)
+	}
+	if r.Request.OwnKey {
+		return
+	}
+	b.chooser.End(r.Target.Daemon, r.Target.Incarnation, choice.Result{
+		Refused: r.Outcome == outcome.NotRun,
+		Failed:  failed(r.Reason),
+	})
+}
+
+// failed reports whether an attempt with this reason counts against its target.
+func failed(reason outcome.Reason) bool {
+	switch reason { //nolint:exhaustive // the others are no failures of the target
+	case outcome.TargetFailed, outcome.TargetCrashed, outcome.ConnectionLost:
+		return true
+	}
+	return false
+}
+
+// called counts a first attempt.
+func (b *balance) called(service *policy.Service, _ *call.Request) {
+	b.budget(service).First()
+}
+
+// mayRetry asks the budget of the service.
+func (b *balance) mayRetry(service *policy.Service, _ *call.Request, failed retry.Attempt) bool {
+	return b.budget(service).Allow(failed)
+}
+
+func (b *balance) budget(service *policy.Service) *retry.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.budgets[service.Name]
+	if budget == nil {
+		budget = retry.New(service.Retry)
+		b.budgets[service.Name] = budget
+	}
+	return budget
+}
+
+// acquire waits for a slot of the target.
+func (b *balance) acquire(ctx context.Context, r *call.Request) (func(serve.Ended), error) {
+	ticket, err := b.queue.Enter(ctx, admit.Request{
+		Rank:         r.Rank,
+		Organisation: r.Organisation,
+		Deadline:     r.Deadline,
+		StartBy:      r.StartBy,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func(e serve.Ended) { release(ticket, e) }, nil
+}
+
+// release gives a slot back. Only what the target did itself is measured.
+func release(t *admit.Ticket, e serve.Ended) {
+	switch {
+	case e.Outcome == outcome.NotRun, e.Reason == outcome.Cancelled:
+		t.Return()
+	case e.Status >= http.StatusInternalServerError, failed(e.Reason):
+		t.Fail()
+	default:
+		t.Release()
+	}
+}
+
+// run refreshes the queue until ctx ends.
+func (b *balance) run(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			b.queue.Refresh()
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,11 +16,16 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/policy"
 	"pollenscale/core/serve"
+	"pollenscale/core/spread"
+	"pollenscale/core/store"
 	"pollenscale/internal/settings"
 	"pollenscale/io/caller"
+	"pollenscale/io/gossip"
 	"pollenscale/io/peer"
+	"pollenscale/io/peer/peerpb"
 	"pollenscale/io/target"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 )
@@ -51,11 +56,20 @@
 	Caller   *caller.Server
 	Target   *target.Client
 
-	slots    *serve.Slots
-	peers    *peerList
+	tables  store.Tables
+	objects store.Objects
+
+	balance  *balance
+	crashes  *crashes
+	keys     *keys
+	uploads  *uploads
+	members  *members
+	config   *configuration
 	sequence atomic.Uint64
-	callerL  net.Listener
-	peerL    net.Listener
+
+	callerL    net.Listener
+	peerL      net.Listener
+	gossipConn *net.UDPConn
 }
 
 // Option changes a daemon as it is built.
@@ -66,6 +80,12 @@
 	return func(d *Daemon) { d.Log = log }
 }
 
+// WithStore sets the platform's table service and object store. Without them
+// the daemon owns no keys and takes no uploads.
+func WithStore(tables store.Tables, objects store.Objects) Option {
+	return func(d *Daemon) { d.tables, d.objects = tables, objects }
+}
+
 // New builds a daemon and opens its ports. The daemon does not serve before Run.
 func New(s *settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{Settings: s, Log: slog.Default(), State: &serve.State{}}
@@ -79,17 +99,12 @@
 		Daemon:        s.Daemon,
 		Incarnation:   fleet.Incarnation(time.Now().UnixNano()),
 		PeerAddress:   d.peerL.Addr().String(),
-		GossipAddress: s.GossipAddress,
+		GossipAddress: d.gossipConn.LocalAddr().String(),
 		Place:         fleet.Place{Region: s.Region, AvailabilityZone: s.AvailabilityZone},
 		Service:       s.Target.Service,
 		Slots:         s.Target.Slots,
 	}
-	d.State.Changed = func(state fleet.State) {
-		d.Log.Info("target: state changed.", "state", state)
-	}
-	d.buildTargetSide()
-	d.buildEntrySide()
-	d.buildServers()
+	d.build()
 	return d, nil
 }
 
@@ -106,55 +121,150 @@
 	if d.peerL, err = net.Listen("tcp", d.Settings.PeerAddress); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "PeerAddress"), d.callerL.Close())
 	}
+	if d.gossipConn, err = gossip.Bind(d.gossipAddress()); err != nil {
+		return errors.CombineErrors(err, errors.CombineErrors(d.callerL.Close(), d.peerL.Close()))
+	}
 	return nil
 }
 
+// gossipAddress returns the address of the settings, or a free port beside the
+// peer address.
+func (d *Daemon) gossipAddress() string {
+	if d.Settings.GossipAddress != "" {
+		return d.Settings.GossipAddress
+	}
+	host, _, err := net.SplitHostPort(d.peerL.Addr().String())
+	if err != nil {
+		return ":0"
+	}
+	return net.JoinHostPort(host, "0")
+}
+
+// build joins the parts.
+func (d *Daemon) build() {
+	d.Peer = peer.NewClient()
+	d.buildState()
+	d.buildTargetSide()
+	d.buildEntrySide()
+	if d.tables.Transact != nil {
+		d.buildStoreUsers()
+	}
+	d.buildServers()
+	d.State.Changed = func(state fleet.State) {
+		d.Log.Info("target: state changed.", "state", state)
+		d.members.setState(state)
+	}
+}
+
+// buildState joins configuration and membership.
+func (d *Daemon) buildState() {
+	d.config = newConfiguration(d.Log, d.Settings.Policy, d.Peer, d.tables, d.objects)
+	d.members = newMembers(d.Log, d.Own, d.seeds(), d.gossipConn, d.Peer, d.tables, d.config.heard)
+	d.config.spreader.Announce = func(h spread.Head) { d.members.list.SetConfig(uint64(h.Version), h.Digest) }
+	d.config.spreader.Members = d.members.list.Size
+	d.config.spreader.Joined = d.members.list.Joined
+}
+
+func (d *Daemon) seeds() []string {
+	seeds := make([]string, 0, len(d.Settings.Peers))
+	for _, p := range d.Settings.Peers {
+		seeds = append(seeds, p.PeerAddress)
+	}
+	return seeds
+}
+
 func (d *Daemon) buildTargetSide() {
 	d.Attempts = &attempt.Table{Own: d.Own.Incarnation}
-	d.slots = serve.NewSlots(d.Own.Slots)
+	d.balance = newBalance(d.Own, d.config.current().Service(d.Own.Service))
+	d.config.holder.OnChange = func(set *policy.Set) { d.balance.setPolicy(set, d.Own.Service) }
+	d.members.changed = d.balance.chooser.SetTargets
+	d.members.refresh()
+	d.crashes = newCrashes(d.Log, d.Own)
+	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
+	d.crashes.report = d.reportCrash
 	d.Target = target.New(d.Settings.Target.Address)
 	d.Target.SeenState = d.State.Sign
 	d.Serve = &serve.Server{
 		Service:  d.Own.Service,
 		Attempts: d.Attempts,
-		Acquire:  d.slots.Acquire,
+		Acquire:  d.balance.acquire,
+		Handover: d.crashes.handover,
 		Call:     d.Target.Call,
 		Load:     d.Load,
 		State:    d.State.Get,
 	}
 }
 
+func (d *Daemon) reportCrash(ctx context.Context, address string, m *peerpb.ReportCrashRequest) error {
+	_, err := d.Peer.Control(address).ReportCrash(ctx, connect.NewRequest(m))
+	return err
+}
+
 func (d *Daemon) buildEntrySide() {
-	d.Peer = peer.NewClient()
-	d.peers = newPeerList(d.Settings, d.Own, time.Now)
-	d.peers.probe = d.probe
 	d.Dispatch = &dispatch.Dispatcher{
-		Policy:  func() *policy.Set { return d.Settings.Policy },
-		Opener:  &attempt.Opener{Daemon: d.Own.Daemon, Incarnation: d.Own.Incarnation},
-		Choose:  d.peers.choose,
-		Begin:   d.peers.begin,
-		Observe: d.peers.observe,
-		Send:    d.send,
-		Settle:  d.settle,
+		Policy:      d.config.current,
+		Opener:      &attempt.Opener{Daemon: d.Own.Daemon, Incarnation: d.Own.Incarnation},
+		Choose:      d.choose,
+		Observe:     d.balance.observe,
+		Called:      d.balance.called,
+		MayRetry:    d.balance.mayRetry,
+		Fingerprint: d.crashes.fingerprint,
+		Send:        d.send,
+		Settle:      d.settle,
 	}
 	d.Serve.Own = d.Dispatch.Own
 }
 
+// choose subscribes to the service and picks a target.
+func (d *Daemon) choose(ctx context.Context, c dispatch.Choice) (fleet.Target, error) {
+	d.members.need(c.Request.Service)
+	return d.balance.choose(ctx, c)
+}
+
+// buildStoreUsers joins the parts that need the platform's store.
+func (d *Daemon) buildStoreUsers() {
+	size := d.members.list.Size
+	d.keys = newKeys(d.Log, d.Own, d.tables, size)
+	d.keys.policy = d.config.current
+	d.keys.ownerOf = d.members.ownerOf
+	d.keys.changed = d.members.setKeySlots
+	d.Dispatch.Owner = d.keys.owner
+	d.Dispatch.Claim = d.keys.claim
+	d.Serve.Fenced = d.keys.fenced
+	d.uploads = newUploads(d.Own, d.tables, d.objects, size)
+	d.uploads.policy = d.config.current
+	d.uploads.load = d.Load
+	d.uploads.invoke = d.Serve.Invoke
+	d.uploads.settle = d.settle
+	d.uploads.memberOf = d.members.get
+	d.Dispatch.Accept = d.uploads.accept
+}
+
 func (d *Daemon) buildServers() {
-	d.PeerSide = &peer.Server{Invoke: d.Serve.Invoke, Settle: d.Attempts.Settle, Load: d.Load}
+	d.PeerSide = &peer.Server{
+		Invoke:          d.Serve.Invoke,
+		Settle:          d.Attempts.Settle,
+		Load:            d.Load,
+		ReportCrash:     d.crashes.receive,
+		ExchangeMembers: d.members.answer,
+		FetchConfig:     d.config.answer,
+	}
 	d.PeerSide.Start()
 	d.Caller = &caller.Server{Do: d.Dispatch.Do, Log: d.Log}
+	if d.uploads != nil {
+		d.Caller.Uploads = d.uploads
+	}
 	d.Caller.Start()
 }
 
 // Load returns the current load of the target.
 func (d *Daemon) Load() fleet.Load {
-	return d.slots.Load(fleet.Load{
-		Daemon:      d.Own.Daemon,
-		Incarnation: d.Own.Incarnation,
-		Sequence:    d.sequence.Add(1),
-		State:       d.State.Get(),
-	})
+	load := d.balance.queue.Load(time.Now())
+	load.Daemon = d.Own.Daemon
+	load.Incarnation = d.Own.Incarnation
+	load.Sequence = d.sequence.Add(1)
+	load.State = d.State.Get()
+	return load
 }
 
 // send makes an attempt, without the network if the target is beside this
@@ -174,13 +284,6 @@
 	return d.Attempts.Settle(ref), nil
 }
 
-func (d *Daemon) probe(ctx context.Context, address string, service fleet.Service) (fleet.Load, error) {
-	if address == d.Own.PeerAddress {
-		return d.Load(), nil
-	}
-	return d.Peer.Probe(ctx, address, service)
-}
-
 // Run serves until ctx ends, and then stops gracefully: the target takes no new
 // work, callers are asked to leave, and work under way completes.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -189,7 +292,9 @@
 	var g run.Group
 	d.addServer(&g, "peer", func() error { return d.PeerSide.Serve(d.peerL) }, d.PeerSide.Close)
 	d.addServer(&g, "caller", func() error { return d.Caller.Serve(d.callerL) }, d.Caller.Close)
-	g.Add(func() error { return d.peers.run(background) }, func(error) { stop() })
+	for _, part := range d.background() {
+		g.Add(func() error { return ended(background, part(background)) }, func(error) { stop() })
+	}
 	g.Add(func() error { return d.watchTarget(background) }, func(error) { stop() })
 	g.Add(func() error { return d.sweep(background) }, func(error) { stop() })
 	quit := make(chan struct{})
@@ -208,6 +313,23 @@
 	return err
 }
 
+// background returns the parts that run beside the servers.
+func (d *Daemon) background() []func(context.Context) error {
+	parts := []func(context.Context) error{d.members.run, d.config.spreader.Run, d.balance.run}
+	if d.keys != nil {
+		parts = append(parts, d.keys.run, d.uploads.run)
+	}
+	return parts
+}
+
+// ended passes over the error of a part that ended because its context did.
+func ended(ctx context.Context, err error) error {
+	if errors.Is(err, ctx.Err()) {
+		return nil
+	}
+	return err
+}
+
 // addServer adds a server. The first actor that ends stops the group, so the
 // actor of a server that was shut down in an orderly way lasts until the group
 // is stopped; otherwise answers under way would be cut off.
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -15,6 +15,10 @@
 	time.Sleep(d.Settings.Drain.Duration())
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Stop.Duration())
 	defer cancel()
+	if d.keys != nil {
+		d.keys.release(ctx)
+		d.uploads.courier.Drain()
+	}
 	// Callers first, since their requests need connections to peers.
 	if err := d.Caller.Shutdown(ctx); err != nil {
 		d.Log.Warn("daemon: requests of callers did not complete.", "error", err)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -36,10 +36,16 @@
 	copyBytes        = call.ReplayBytes
 )
 
+// UploadPath is the status address of deferred uploads.
+const UploadPath = "/pollenscale/uploads/"
+
 // Server answers callers.
 type Server struct {
 	// Do sends a request to a target. An error is an *outcome.Error.
 	Do func(context.Context, *call.Request) (*call.Answer, error)
+	// Uploads answers requests for the state of deferred uploads; nil without a
+	// store.
+	Uploads http.Handler
 	// Log receives unexpected failures.
 	Log *slog.Logger
 
@@ -52,6 +58,9 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.Any("/*", s.handle)
+	if s.Uploads != nil {
+		e.GET(UploadPath+"*", echo.WrapHandler(s.Uploads))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -68,8 +68,9 @@
 	return func(t *Transport) { t.onConfig = f }
 }
 
-// Listen opens the UDP socket. Run must be called to serve it.
-func Listen(address string, list *member.List, options ...Option) (*Transport, error) {
+// Bind opens the UDP socket, so that its address is known before the list is
+// built that announces it.
+func Bind(address string) (*net.UDPConn, error) {
 	a, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "gossip address %q", address)
@@ -81,6 +82,20 @@
 	if err := conn.SetReadBuffer(readBuffer); err != nil {
 		slog.Warn("gossip: cannot enlarge the read buffer.", "error", err)
 	}
+	return conn, nil
+}
+
+// Listen opens the UDP socket. Run must be called to serve it.
+func Listen(address string, list *member.List, options ...Option) (*Transport, error) {
+	conn, err := Bind(address)
+	if err != nil {
+		return nil, err
+	}
+	return New(conn, list, options...), nil
+}
+
+// New returns a transport over an open socket. Run must be called to serve it.
+func New(conn *net.UDPConn, list *member.List, options ...Option) *Transport {
 	t := &Transport{
 		list:      list,
 		conn:      conn,
@@ -91,7 +106,7 @@
 	for _, o := range options {
 		o(t)
 	}
-	return t, nil
+	return t
 }
 
 // Address returns the address of the socket.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -253,7 +253,12 @@
 		return nil, outcome.New(outcome.Unknown, outcome.ConnectionLost, "answer to another attempt")
 	}
 	if head.GetReason() != "" {
-		return nil, unpackError(head, s.now())
+		e := unpackError(head, s.now())
+		if m.GetLoad() != nil {
+			load := unpackLoad(m.GetLoad())
+			e.Load = &load
+		}
+		return nil, e
 	}
 	body := &answerBody{exchange: s}
 	body.take(m)
