core/choice: ignore differences that stale reports cannot show

Change: a report fades out within a service time, a later candidate must cost half a service time less, and an attempt accepts a wait of one mean gap between free slots.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -26,6 +26,13 @@
 const (
 	// sampled is the number of targets compared per tier in one pick.
 	sampled = 2
+	// margin is how much less a later candidate must cost than an earlier one,
+	// in service times. Without it all entries with the same stale reports pick
+	// the same targets for reasons that are noise.
+	margin = 0.5
+	// patience is the wait that an attempt accepts at a target instead of a
+	// redirect, in mean times between two free slots.
+	patience = 1
 	// DefaultTries is the number of attempts that must find a free slot before
 	// an attempt queues.
 	DefaultTries = 5
@@ -183,11 +190,14 @@
 	return c.delays.Elsewhere
 }
 
-// Observe records a load report. Reports of other incarnations and reports
-// older than the last one are ignored.
-func (c *Chooser) Observe(l fleet.Load) {
+// Observe records a load report that has just been made. Reports of other
+// incarnations and reports older than the last one are ignored.
+func (c *Chooser) Observe(l fleet.Load) { c.ObserveAt(l, c.Now()) }
+
+// ObserveAt records a load report that was made at a known earlier time.
+func (c *Chooser) ObserveAt(l fleet.Load, at time.Time) {
 	if n := c.view.Load().nodes[l.Daemon]; n != nil {
-		n.observe(l, c.Now())
+		n.observe(l, at)
 	}
 }
 
@@ -204,7 +214,7 @@
 	}
 	if len(r.Tried) < c.tries {
 		if n := c.sample(g, r, now); n != nil {
-			return n.send(now.Add(c.delay(n.tier))), nil
+			return n.send(now.Add(c.delay(n.tier) + n.part(patience/float64(n.slots.Load())))), nil
 		}
 	}
 	n := c.shortest(g, r, now)
@@ -250,7 +260,8 @@
 			if n == nil {
 				break
 			}
-			if cost := n.cost() + 2*c.delay(t); best == nil || cost < least {
+			cost := n.cost(now) + 2*c.delay(t)
+			if best == nil || cost < least-best.part(margin) {
 				best, least = n, cost
 			}
 		}
--- a/core/choice/node.go
+++ b/core/choice/node.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	// trialShare is the share of picks, in 1/2^24, that still considers a failing
 	// target, so that its recovery is noticed: one in 100.
 	trialShare = (1 << 24) / 100
+	// usualOccupancy is the occupancy that is assumed without a recent report.
+	usualOccupancy = 0.8
 	// defaultService is assumed until a target reports its service time.
 	defaultService = 10 * time.Millisecond
 )
@@ -41,7 +44,6 @@
 	waitHigh atomic.Int64 // nanoseconds
 	reported atomic.Int64 // nanoseconds since 1970
 	inFlight atomic.Int64
-	since    atomic.Int64 // own attempts sent since the last report
 	failures atomic.Int64 // failure ratio in millionths
 }
 
@@ -70,10 +72,10 @@
 
 func (n *node) takesWork() bool { return n.state.Load() == 1 }
 
-func (n *node) observe(l fleet.Load, now time.Time) {
+func (n *node) observe(l fleet.Load, at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if l.Incarnation != n.target.Incarnation || l.Sequence < n.sequence {
+	if l.Incarnation != n.target.Incarnation || l.Sequence <= n.sequence {
 		return
 	}
 	n.sequence = l.Sequence
@@ -85,14 +87,12 @@
 	n.service.Store(int64(l.Service))
 	n.waitLow.Store(int64(l.WaitLow))
 	n.waitHigh.Store(int64(l.WaitUrgent))
-	n.reported.Store(now.UnixNano())
-	n.since.Store(0)
+	n.reported.Store(at.UnixNano())
 }
 
 // send counts an attempt and returns the choice of this target.
 func (n *node) send(startBy time.Time) Choice {
 	n.inFlight.Add(1)
-	n.since.Add(1)
 	return Choice{Target: n.target, StartBy: startBy, node: n}
 }
 
@@ -134,15 +134,27 @@
 	return defaultService
 }
 
-// occupancy is the expected number of requests per slot.
-func (n *node) occupancy() float64 {
-	load := max(n.load.Load()+n.since.Load(), n.inFlight.Load())
-	return float64(load) / float64(n.slots.Load())
+// part returns a multiple of the service time.
+func (n *node) part(f float64) time.Duration {
+	return time.Duration(f * float64(n.serviceTime()))
+}
+
+// occupancy is the expected number of requests per slot. A report loses its
+// meaning as the requests that it counted finish, so that the estimate returns
+// to the usual occupancy within about one service time, later for longer
+// queues. Otherwise all entries with the same stale reports pick the same targets.
+func (n *node) occupancy(now time.Time) float64 {
+	reported := float64(n.load.Load()) / float64(n.slots.Load())
+	age := now.UnixNano() - n.reported.Load()
+	decay := float64(n.serviceTime()) * max(1, reported)
+	known := math.Exp(-float64(max(0, age)) / decay)
+	expected := usualOccupancy + (reported-usualOccupancy)*known
+	return expected + float64(n.inFlight.Load())/float64(n.slots.Load())
 }
 
 // cost ranks targets: the time that the requests ahead take, plus penalties.
-func (n *node) cost() time.Duration {
-	return time.Duration(n.occupancy()*float64(n.serviceTime())) + n.penalty()
+func (n *node) cost(now time.Time) time.Duration {
+	return time.Duration(n.occupancy(now)*float64(n.serviceTime())) + n.penalty()
 }
 
 // wait is the reported wait, less the time passed since the report.
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -149,13 +149,14 @@
 	}
 }
 
-// least keeps half of the announced slots open: a target that a neighbour slows
-// down to half its speed does not gain from lower concurrency.
+// least is the lower bound of the limit. A warm target keeps the slots that it
+// announces: when a neighbour slows it down, fewer requests at a time would only
+// lower its throughput.
 func (l *Limit) least() float64 {
 	if l.warming {
 		return start
 	}
-	return max(1, l.slots/2)
+	return max(1, l.slots)
 }
 
 func (l *Limit) most() float64 {
