core/admit: charge floors the actual slot time

Cause: the debt of a rank served for its floor was capped at two requests, so that one long request was forgiven, and ranks got more than their floor.

Change: credit is kept in seconds; a start that a floor paid for is charged in full, one that worth paid for leaves no debt. The measurement counts slot time by when it ends.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -205,7 +205,9 @@
 func (q *Queue) startNext(now time.Time) {
 	free := q.limit.Value() - q.running
 	for free > 0 && q.queued > 0 {
-		t := q.next().pop()
+		k, due := q.next()
+		t := k.pop()
+		t.due = due
 		q.queued--
 		if d := t.request.Deadline; !d.IsZero() && now.Add(seconds(t.rank.mean)).After(d) {
 			q.refuse(t, outcome.CannotFinish, "the deadline came too close in the queue", now)
@@ -217,9 +219,9 @@
 	invariant.Check(q.queued >= 0 && q.running >= 0, "admit_counts", "queued %d, running %d", q.queued, q.running)
 }
 
-// next returns the rank to serve: the one furthest below its floor, else the
-// first in the order of worth that has queued requests.
-func (q *Queue) next() *rank {
+// next returns the rank to serve: the one furthest below its floor, which is then
+// due, else the first in the order of worth that has queued requests.
+func (q *Queue) next() (k *rank, isDue bool) {
 	var first, due *rank
 	for _, k := range q.ranks {
 		if k.queued == 0 {
@@ -228,14 +230,14 @@
 		if first == nil {
 			first = k
 		}
-		if k.floor > 0 && k.credit >= 1 && (due == nil || k.credit > due.credit) {
+		if k.floor > 0 && k.credit >= q.unit(k) && (due == nil || k.credit > due.credit) {
 			due = k
 		}
 	}
 	if due != nil {
-		return due
+		return due, true
 	}
-	return first
+	return first, false
 }
 
 // start gives a slot to t and charges its rank and organisation with the
@@ -249,7 +251,7 @@
 	if t.charged == 0 {
 		t.charged = q.mean
 	}
-	q.charge(t.rank, t.charged)
+	q.charge(t, t.charged)
 	for _, k := range q.ranks {
 		k.share -= k.share * shareWeight
 	}
@@ -257,20 +259,28 @@
 	q.decided = append(q.decided, decision{ticket: t})
 }
 
-// charge accounts slot time to a rank. Each rank is credited its floor of it.
-// Credit is counted in requests of the rank.
-func (q *Queue) charge(used *rank, slotTime float64) {
+// charge accounts slot time in seconds to the rank of t and credits each rank
+// its floor of it. Time given to a due rank is paid in full, so that its long
+// requests do not add to its floor; time that the rank got by its worth leaves
+// no debt.
+func (q *Queue) charge(t *Ticket, slotTime float64) {
 	for _, k := range q.ranks {
-		unit := k.mean
-		if unit == 0 {
-			unit = max(q.mean, 1e-6)
-		}
-		k.credit += k.floor * slotTime / unit
-		if k == used {
-			k.credit -= slotTime / unit
-		}
-		k.credit = min(max(k.credit, -maxCredit), maxCredit)
+		k.credit = min(k.credit+k.floor*slotTime, maxCredit*q.unit(k))
+	}
+	k := t.rank
+	paid := k.credit - slotTime
+	if !t.due {
+		paid = max(paid, min(k.credit, 0))
+	}
+	k.credit = min(paid, maxCredit*q.unit(k))
+}
+
+// unit is the expected slot time of a request of a rank in seconds.
+func (q *Queue) unit(k *rank) float64 {
+	if k.mean > 0 {
+		return k.mean
 	}
+	return max(q.mean, 1e-6)
 }
 
 // wait estimates how long the n-th queued request of the rank at a position
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -31,6 +31,7 @@
 	arrived time.Time
 	started time.Time
 	charged float64 // seconds of slot time
+	due     bool    // started for the floor of its rank
 }
 
 // Cancel withdraws a queued request, whose decide function is then not called.
@@ -92,7 +93,7 @@
 // correct replaces the expected slot time of a ticket by the actual one.
 func (q *Queue) correct(t *Ticket, took float64) {
 	difference := took - t.charged
-	q.charge(t.rank, difference)
+	q.charge(t, difference)
 	if t.flow != nil {
 		t.flow.tag += difference / t.flow.weight
 	}
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -96,11 +96,16 @@
 	return after, in - floodTo
 }
 
-// tally counts what became of the requests of one class in one phase.
+// tally counts what became of the requests of one class that arrived in one
+// phase, and what finished in time in the phase, whenever it arrived.
 type tally struct {
 	offered, inTime, refused int
-	offeredWork, doneWork    time.Duration
+	offeredWork              time.Duration
 	latencies                sample
+
+	finished     int
+	finishedWork time.Duration
+	usedWork     time.Duration // slot time, in time or not
 }
 
 // flood is one run of a flood case.
@@ -129,12 +134,7 @@
 	k := f.classes[i]
 	arrived := f.loop.now
 	deadline := arrived.Add(k.Timeout.Duration())
-	at, _ := phaseOf(f.loop.elapsed())
-	var ignored tally
-	t := &ignored
-	if f.loop.elapsed() >= floodCycle {
-		t = &f.tallies[i][at]
-	}
+	t := f.tally(i)
 	t.offered++
 	if w <= k.Timeout.Duration() {
 		t.offeredWork += w
@@ -151,14 +151,27 @@
 		f.loop.after(f.target.duration(w), func() {
 			ticket.Release()
 			t.latencies = append(t.latencies, f.loop.now.Sub(arrived))
+			now := f.tally(i)
+			now.usedWork += w
 			if !f.loop.now.After(deadline) {
 				t.inTime++
-				t.doneWork += w
+				now.finished++
+				now.finishedWork += w
 			}
 		})
 	})
 }
 
+// tally returns the counts of a class in the present phase. Those of the first
+// cycle are ignored.
+func (f *flood) tally(i int) *tally {
+	if f.loop.elapsed() < floodCycle {
+		return &tally{}
+	}
+	at, _ := phaseOf(f.loop.elapsed())
+	return &f.tallies[i][at]
+}
+
 func (f *flood) started(i int) {
 	if f.loop.elapsed() < floodCycle {
 		return
@@ -218,9 +231,9 @@
 		r.add(name+" P99 flood", during.latencies.quantile(0.99), "ms")
 		r.add(name+" in time", 100*float64(during.inTime)/float64(during.offered), "%")
 		r.add(name+" in time calm", 100*float64(before.inTime)/float64(before.offered), "%")
-		r.add(name+" slot time", 100*during.doneWork.Seconds()/total, "%")
+		r.add(name+" slot time", 100*during.finishedWork.Seconds()/total, "%")
 		if i != flooding {
-			kept := during.doneWork.Seconds() / min(during.offeredWork.Seconds(), float64(k.Floor)*total)
+			kept := during.usedWork.Seconds() / min(during.offeredWork.Seconds(), float64(k.Floor)*total)
 			r.add(name+" floor kept", 100*kept, "%")
 		}
 	}
@@ -230,16 +243,16 @@
 	r.add("Refusal P99", f.refusal.quantile(0.99), "ms")
 }
 
-// goodput is the worth of the requests answered in time.
+// goodput is the worth of the requests that finished in time in a phase.
 func (f *flood) goodput(p phase) float64 {
 	var sum float64
 	for i, k := range f.classes {
-		sum += float64(k.Worth) * float64(f.tallies[i][p].inTime)
+		sum += float64(k.Worth) * float64(f.tallies[i][p].finished)
 	}
 	return sum
 }
 
-// goodputRate is the share of the offered worth that was answered in time.
+// goodputRate is the worth finished in time relative to the worth offered.
 func (f *flood) goodputRate(p phase) float64 {
 	var offered float64
 	for i, k := range f.classes {
