--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -36,6 +36,10 @@
 	// with the mean service time left miss their deadline in two of five cases
 	// when service times are heavy-tailed.
 	deviations = 2
+	// queuePart is the part of its time that a request may spend in the queue. A
+	// longer queue serves no more requests, but those near their deadline finish
+	// late: with 1 the most urgent flood wastes 20% of the slot time, with 0.5 5%.
+	queuePart = 0.5
 	// maxQueued bounds the queue in requests per slot.
 	maxQueued = 64
 )
@@ -183,21 +187,21 @@
 		q.start(t, now)
 		return
 	}
-	wait := q.wait(position, t.rank.queued+1)
-	begin := now.Add(wait)
+	weight := q.weight(r.Organisation)
+	begin := now.Add(q.wait(position, t.rank.ahead(r.Organisation, weight)+1))
 	if !r.StartBy.IsZero() && begin.After(r.StartBy) {
 		q.refuse(t, outcome.Overloaded, "no free slot", now)
 		return
 	}
-	if !t.rank.canFinish(begin, r.Deadline) {
+	if !t.rank.canFinish(now, begin, r.Deadline) {
 		q.refuse(t, outcome.CannotFinish, "the queue is too long for the deadline", now)
 		return
 	}
 	t.state = queued
-	t.rank.push(t, q.weight(r.Organisation))
+	t.rank.push(t, weight)
 	q.queued++
 	q.startNext(now)
-	q.yield(position+1, now)
+	q.yield(position, now)
 	q.trim(now)
 }
 
@@ -205,7 +209,9 @@
 func (q *Queue) startNext(now time.Time) {
 	free := q.limit.Value() - q.running
 	for free > 0 && q.queued > 0 {
-		t := q.next().pop()
+		k, due := q.next()
+		t := k.pop()
+		t.due = due
 		q.queued--
 		if d := t.request.Deadline; !d.IsZero() && now.Add(seconds(t.rank.mean)).After(d) {
 			q.refuse(t, outcome.CannotFinish, "the deadline came too close in the queue", now)
@@ -217,9 +223,9 @@
 	invariant.Check(q.queued >= 0 && q.running >= 0, "admit_counts", "queued %d, running %d", q.queued, q.running)
 }
 
-// next returns the rank to serve: the one furthest below its floor, else the
-// first in the order of worth that has queued requests.
-func (q *Queue) next() *rank {
+// next returns the rank to serve: the one furthest below its floor, which is then
+// due, else the first in the order of worth that has queued requests.
+func (q *Queue) next() (k *rank, isDue bool) {
 	var first, due *rank
 	for _, k := range q.ranks {
 		if k.queued == 0 {
@@ -228,14 +234,14 @@
 		if first == nil {
 			first = k
 		}
-		if k.floor > 0 && k.credit >= 1 && (due == nil || k.credit > due.credit) {
+		if k.floor > 0 && k.credit >= q.unit(k) && (due == nil || k.credit > due.credit) {
 			due = k
 		}
 	}
 	if due != nil {
-		return due
+		return due, true
 	}
-	return first
+	return first, false
 }
 
 // start gives a slot to t and charges its rank and organisation with the
@@ -249,7 +255,7 @@
 	if t.charged == 0 {
 		t.charged = q.mean
 	}
-	q.charge(t.rank, t.charged)
+	q.charge(t, t.charged)
 	for _, k := range q.ranks {
 		k.share -= k.share * shareWeight
 	}
@@ -257,20 +263,28 @@
 	q.decided = append(q.decided, decision{ticket: t})
 }
 
-// charge accounts slot time to a rank. Each rank is credited its floor of it.
-// Credit is counted in requests of the rank.
-func (q *Queue) charge(used *rank, slotTime float64) {
+// charge accounts slot time in seconds to the rank of t and credits each rank
+// its floor of it. Time given to a due rank is paid in full, so that its long
+// requests do not add to its floor; time that the rank got by its worth leaves
+// no debt.
+func (q *Queue) charge(t *Ticket, slotTime float64) {
 	for _, k := range q.ranks {
-		unit := k.mean
-		if unit == 0 {
-			unit = max(q.mean, 1e-6)
-		}
-		k.credit += k.floor * slotTime / unit
-		if k == used {
-			k.credit -= slotTime / unit
-		}
-		k.credit = min(max(k.credit, -maxCredit), maxCredit)
+		k.credit = min(k.credit+k.floor*slotTime, maxCredit*q.unit(k))
+	}
+	k := t.rank
+	paid := k.credit - slotTime
+	if !t.due {
+		paid = max(paid, min(k.credit, 0))
+	}
+	k.credit = min(paid, maxCredit*q.unit(k))
+}
+
+// unit is the expected slot time of a request of a rank in seconds.
+func (q *Queue) unit(k *rank) float64 {
+	if k.mean > 0 {
+		return k.mean
 	}
+	return max(q.mean, 1e-6)
 }
 
 // wait estimates how long the n-th queued request of the rank at a position
@@ -304,7 +318,7 @@
 		k := q.ranks[i]
 		for k.queued > 0 {
 			t := k.last()
-			if k.canFinish(now.Add(q.wait(i, k.queued)), t.request.Deadline) {
+			if k.canFinish(t.arrived, now.Add(q.wait(i, k.queued)), t.request.Deadline) {
 				break
 			}
 			q.remove(t)
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -12,7 +12,7 @@
 type rank struct {
 	worth  float64
 	floor  float64
-	credit float64 // floor credit in requests
+	credit float64 // floor credit in seconds of slot time
 	share  float64 // share of recent starts
 	mean   float64 // smoothed service time in seconds
 	spread float64 // mean deviation of the service time in seconds
@@ -46,8 +46,29 @@
 
 // canFinish reports whether a request that starts at begin is likely to finish
 // by the deadline.
-func (k *rank) canFinish(begin, deadline time.Time) bool {
-	return deadline.IsZero() || !begin.Add(seconds(k.mean+deviations*k.spread)).After(deadline)
+func (k *rank) canFinish(now, begin, deadline time.Time) bool {
+	if deadline.IsZero() {
+		return true
+	}
+	need := max(seconds(k.mean+deviations*k.spread), time.Duration((1-queuePart)*float64(deadline.Sub(now))))
+	return !begin.Add(need).After(deadline)
+}
+
+// ahead counts the queued requests that are served before a new request of an
+// organisation: its own, and of each other organisation as many as its weight
+// allows in the same time.
+func (k *rank) ahead(o fleet.Organisation, weight float64) int {
+	mine := 0
+	if f := k.flows[o]; f != nil {
+		mine = len(f.tickets)
+	}
+	count := mine
+	for _, f := range k.active {
+		if f != k.flows[o] {
+			count += min(len(f.tickets), int(math.Ceil(float64(mine+1)*f.weight/weight)))
+		}
+	}
+	return count
 }
 
 // push queues a ticket behind those of its organisation with earlier or equal
