--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate
+.PHONY: build test lint fmt generate prove mutants
+
+SEED ?= 1
+RUNS ?= 200
 
 build:
 	$(GO) build -o bin/ ./...
@@ -10,6 +13,14 @@
 test: build
 	$(GO) test ./...
 
+# Long randomised run of the promises; prints the seed of a failure.
+prove:
+	$(GO) test ./internal/prove -run TestPromises -count=1 -v -timeout 0 -args -seed $(SEED) -runs $(RUNS)
+
+# Switches each mechanism off, one at a time, and lists the tests that then fail.
+mutants:
+	POLLENSCALE_MUTANTS=1 $(GO) test ./internal/mutant -run TestMutants -count=1 -v -timeout 20m
+
 fmt:
 	$(GO) run $(GOLANGCI) fmt ./...
 
--- a/core/lease/acquire.go
+++ b/core/lease/acquire.go
@@ -22,8 +22,10 @@
 	if h.Vacant == nil {
 		return nil
 	}
-	h.calls.Lock()
-	defer h.calls.Unlock()
+	if err := h.lock(ctx); err != nil {
+		return err
+	}
+	defer h.unlock()
 	var free []candidate
 	for _, name := range h.unheld(h.Vacant()) {
 		c, ok, err := h.look(ctx, name)
@@ -167,8 +169,10 @@
 	if !h.leave(name) {
 		return ErrNotHeld
 	}
-	h.calls.Lock()
-	defer h.calls.Unlock()
+	if err := h.lock(ctx); err != nil {
+		return err
+	}
+	defer h.unlock()
 	for {
 		t, ok := h.release(name, acceptedUpTo)
 		if !ok {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -62,7 +62,7 @@
 	// FleetSize returns the number of daemons that share the store.
 	FleetSize func() int
 
-	calls sync.Mutex // serialises writes, so that versions are known
+	calls chan struct{} // holds one value; serialises writes, so that versions are known
 	mu    sync.Mutex // guards the fields below
 	held  map[Name]*entry
 	// busy is when a lease held by another daemon can be free again, by the
@@ -117,6 +117,7 @@
 		Clock:       ReadClock,
 		Random:      rand.Float64,
 		FleetSize:   func() int { return 1 },
+		calls:       make(chan struct{}, 1),
 		held:        map[Name]*entry{},
 		busy:        map[Name]busyUntil{},
 	}
@@ -225,8 +226,10 @@
 // lease that lapsed is extended too, as long as no other daemon took it: its
 // holder still knows every stamp that it accepted.
 func (h *Holder) Renew(ctx context.Context) error {
-	h.calls.Lock()
-	defer h.calls.Unlock()
+	if err := h.lock(ctx); err != nil {
+		return err
+	}
+	defer h.unlock()
 	names := h.renewable()
 	var failed error
 	for len(names) > 0 {
@@ -365,3 +368,17 @@
 	defer cancel()
 	return h.Tables.Transact(ctx, t)
 }
+
+// lock waits for the turn to write. Unlike a mutex, it gives up with ctx.
+func (h *Holder) lock(ctx context.Context) error {
+	select {
+	case h.calls <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Holder) unlock() {
+	<-h.calls
+}
--- a/core/upload/courier.go
+++ b/core/upload/courier.go
@@ -68,8 +68,8 @@
 	NewUUID func() string
 	Log     *slog.Logger
 
-	busy   sync.Mutex // held during a delivery
-	mu     sync.Mutex // guards closed
+	busy   chan struct{} // holds one value during a delivery
+	mu     sync.Mutex    // guards closed
 	closed bool
 }
 
@@ -101,6 +101,7 @@
 		Self:        self,
 		Incarnation: incarnation,
 		Close:       func(Attempt) {},
+		busy:        make(chan struct{}, 1),
 		FleetSize:   func() int { return 1 },
 		Random:      rand.Float64,
 		NewUUID:     uuid.NewString,
@@ -138,8 +139,12 @@
 // DeliverOne takes one record that waits, if there is any, and delivers it. It
 // reports whether it found one.
 func (c *Courier) DeliverOne(ctx context.Context) (bool, error) {
-	c.busy.Lock()
-	defer c.busy.Unlock()
+	select {
+	case c.busy <- struct{}{}:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	defer func() { <-c.busy }()
 	if c.draining() {
 		return false, nil
 	}
@@ -173,14 +178,19 @@
 	return true, c.deliver(ctx, record, store.Row{Table: PendingTable, Key: row.Key, Version: version}, now)
 }
 
-// Drain takes no further records and waits for the delivery under way. A planned
-// stop calls it before it ends Run.
-func (c *Courier) Drain() {
+// Drain takes no further records and waits for the delivery under way, or for
+// the end of ctx. A planned stop calls it before it ends Run.
+func (c *Courier) Drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	c.busy.Lock()
-	defer c.busy.Unlock()
+	select {
+	case c.busy <- struct{}{}:
+		<-c.busy
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (c *Courier) draining() bool {
--- /dev/null
+++ b/internal/prove/uploads_test.go
@@ -0,0 +1,184 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
+	"pollenscale/core/store"
+	"pollenscale/core/upload"
+)
+
+// sentUpload is one copy of an upload, as a caller sent it to one daemon.
+type sentUpload struct {
+	body     string
+	request  upload.Request
+	id       upload.ID
+	outcome  outcome.Outcome // of a refusal
+	answered bool
+}
+
+func (p *process) startCourier(tables store.Tables) {
+	w := p.host.world
+	c := upload.New(tables, p.gatedObjects(w.store.Objects()), service, p.host.id, p.incarnation,
+		upload.WithRandom(p.host.chance),
+		upload.WithFleetSize(func() int { return hosts }),
+		upload.WithNewUUID(func() string {
+			return fmt.Sprintf("%s-%d-%d", p.host.id, p.incarnation, p.nextSequence())
+		}))
+	c.Log = quietLog()
+	c.Room = func() bool {
+		_, up, _ := p.host.target.state()
+		return up
+	}
+	c.Open = func() (upload.Attempt, bool) {
+		id, ok := p.newAttempt(w.hosts[w.intn(hosts)])
+		return upload.Attempt(id), ok
+	}
+	c.Deliver = p.deliver
+	c.Settle = func(_ context.Context, a upload.Attempt) (outcome.Outcome, bool, error) {
+		o, running, ok := p.settle(w.host(a.Target), attemptID(a))
+		if !ok {
+			return "", false, errors.New("no answer")
+		}
+		return o, running, nil
+	}
+	p.courier = c
+}
+
+// deliver sends an upload to the target's daemon that the attempt addresses.
+func (p *process) deliver(_ context.Context, a upload.Attempt, r upload.Record, body io.Reader) (int, error) {
+	w := p.host.world
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return 0, outcome.New(outcome.NotRun, outcome.StoreDown, err.Error())
+	}
+	answer := p.send(w.host(a.Target), attemptID(a), "", 0, func(receiver *process) reply {
+		return receiver.run(poison.Of(service, "PUT", string(r.ID), "", nil), false, func() reply {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.runs = append(w.runs, run{upload: string(r.ID), body: string(data)})
+			status := 200
+			if w.random.IntN(25) == 0 {
+				status = 500
+			}
+			return reply{outcome: outcome.Run, status: status}
+		})
+	})
+	if answer.outcome != outcome.Run {
+		return 0, outcome.New(answer.outcome, answer.reason, "")
+	}
+	return answer.status, nil
+}
+
+// uploaders send uploads, some of them with a key and more than once.
+func (w *world) uploaders(n int) {
+	for i := range n {
+		at := w.between(2*time.Second, duration)
+		r := upload.Request{Service: service, Organisation: "puente", Method: "PUT", URI: "/material", Idempotent: i%2 == 0}
+		body := fmt.Sprintf("reference audio %d", i)
+		r.Size = fleet.Bytes(len(body))
+		r.Fingerprint = upload.FingerprintOf(r.Method, r.URI, r.Size)
+		copies := 1
+		if w.intn(3) == 0 {
+			r.Key = fmt.Sprintf("upload-%d", i)
+			copies = 3
+		}
+		for c := range copies {
+			delay := at + time.Duration(c)*w.between(0, 40*time.Second)
+			w.spawn(func() {
+				if w.sleep(delay) {
+					w.sendUpload(r, body)
+				}
+			})
+		}
+	}
+}
+
+func (w *world) sendUpload(r upload.Request, body string) {
+	sent := &sentUpload{body: body, request: r}
+	w.mu.Lock()
+	w.uploads = append(w.uploads, sent)
+	w.mu.Unlock()
+	entry := w.hosts[w.intn(hosts)].current()
+	if entry == nil {
+		return
+	}
+	var id upload.ID
+	var refused *outcome.Error
+	if !entry.do(func() {
+		ctx, cancel := context.WithTimeout(entry.ctx, 10*time.Second)
+		defer cancel()
+		record, err := entry.courier.Accept(ctx, r, strings.NewReader(body))
+		id = record.ID
+		errors.As(err, &refused)
+	}) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sent.answered, sent.id = true, id
+	if refused != nil {
+		sent.outcome = refused.Outcome
+	}
+}
+
+// checkUploads requires that each accepted upload was delivered or is parked
+// with its body, and that a refused one was not run.
+func (w *world) checkUploads(ctx context.Context) {
+	runs := map[string][]run{}
+	byBody := map[string]int{}
+	for _, r := range w.runs {
+		if r.upload != "" {
+			runs[r.upload] = append(runs[r.upload], r)
+			byBody[r.body]++
+		}
+	}
+	reader := upload.New(w.store.Tables(), w.store.Objects(), service, "check", 1)
+	accepted := map[string]bool{}
+	for _, u := range w.uploads {
+		if u.id != "" {
+			accepted[u.body] = true
+			w.checkAccepted(ctx, reader, u, runs[string(u.id)])
+		}
+		if !u.request.Idempotent && byBody[u.body] > 1 {
+			w.problems = append(w.problems, fmt.Sprintf("upload %q ran %d times", u.body, byBody[u.body]))
+		}
+	}
+	for _, u := range w.uploads {
+		if u.outcome == outcome.NotRun && u.request.Key == "" && byBody[u.body] > 0 {
+			w.problems = append(w.problems, fmt.Sprintf("upload %q was told 'not run' and ran", u.body))
+		}
+	}
+}
+
+func (w *world) checkAccepted(ctx context.Context, reader *upload.Courier, u *sentUpload, runs []run) {
+	record, err := reader.Status(ctx, u.id)
+	if err != nil {
+		w.problems = append(w.problems, fmt.Sprintf("upload %s is lost: %v", u.id, err))
+		return
+	}
+	for _, r := range runs {
+		if r.body != u.body {
+			w.problems = append(w.problems, fmt.Sprintf("upload %s was delivered as %q", u.id, r.body))
+		}
+	}
+	switch record.State {
+	case upload.Delivered:
+		if len(runs) == 0 {
+			w.problems = append(w.problems, fmt.Sprintf("upload %s is recorded as delivered and never ran", u.id))
+		}
+	case upload.Parked:
+		if _, err := w.store.Objects().Get(ctx, record.Object); err != nil {
+			w.problems = append(w.problems, fmt.Sprintf("parked upload %s has no body", u.id))
+		}
+	case upload.Accepted, upload.Delivering:
+		w.problems = append(w.problems, fmt.Sprintf("upload %s is still %s (%s)", u.id, record.State, record.Detail))
+	}
+}
