--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -17,7 +17,7 @@
 	defer cancel()
 	if d.keys != nil {
 		d.keys.release(ctx)
-		d.uploads.courier.Drain()
+		d.uploads.courier.Drain(ctx)
 	}
 	// Callers first, since their requests need connections to peers.
 	if err := d.Caller.Shutdown(ctx); err != nil {
