core/dispatch, io/peer: settle lost attempts and end cut-off bodies

A request body that fails midway left the entry waiting for ever: the HTTP/2 transport does not notice the end of the context while it waits for more of the request body. The body is now ended with the context. A short answer that breaks off is told as a problem with outcome Run instead of a closed connection.

--- a/core/call/body.go
+++ b/core/call/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,17 +11,23 @@
 // size of the first frame of a body between daemons.
 const ReplayBytes = 32 << 10
 
+// errSuperseded is returned to the reader of an earlier attempt.
+var errSuperseded = errors.New("the request body is sent by a later attempt")
+
 // Body is a request body whose first ReplayBytes can be read again. A nil Body
 // is empty.
 type Body struct {
 	source io.Reader
 	head   []byte
-	// whole is set when head holds the whole body.
-	whole bool
-	err   error
-	// offset is the position in head.
-	offset int
-	// passed is set once bytes beyond head have been read.
+	// read is set once head has been read, and whole when head is all of it.
+	read, whole bool
+	err         error
+
+	mu sync.Mutex
+	// generation counts the attempts; only readers of the latest may read
+	// beyond head.
+	generation int
+	// passed is set once a reader went beyond head.
 	passed bool
 }
 
@@ -34,7 +41,7 @@
 
 // Buffered returns a body that holds data.
 func Buffered(data []byte) *Body {
-	return &Body{head: data, whole: true}
+	return &Body{head: data, read: true, whole: true}
 }
 
 // Limit makes reading more than limit bytes fail with the error tooLarge. It
@@ -47,32 +54,36 @@
 
 // Head reads and returns up to ReplayBytes from the start of the body and
 // whether that is the whole body. Length is the declared length, or -1; a body
-// shorter than it is an error.
+// shorter than it is an error. Head is not safe for concurrent use until its
+// first call has returned.
 func (b *Body) Head(length int64) (head []byte, whole bool, err error) {
 	if b == nil {
 		return nil, true, nil
 	}
-	if b.head != nil || b.whole || b.err != nil {
-		return b.head, b.whole, b.err
+	if !b.read {
+		b.readHead(length)
 	}
+	return b.head, b.whole, b.err
+}
+
+func (b *Body) readHead(length int64) {
 	size := int64(ReplayBytes)
-	if length > 0 && length < size {
+	if length >= 0 && length < size {
 		size = length
 	}
 	buf := make([]byte, size)
 	n, err := io.ReadFull(b.source, buf)
-	b.head = buf[:n]
+	b.read, b.head = true, buf[:n]
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		b.whole, err = true, nil
-		if length > 0 {
+		if length >= 0 {
 			err = io.ErrUnexpectedEOF
 		}
 	}
-	if err == nil && int64(n) == length {
+	if int64(n) == length {
 		b.whole = true
 	}
 	b.err = err
-	return b.head, b.whole, err
 }
 
 // Rest returns a reader of what follows Head. Once it has been read from, the
@@ -81,32 +92,75 @@
 	if b == nil || b.whole {
 		return eof{}
 	}
-	return rest{b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return rest{body: b, generation: b.generation}
 }
 
-// Replayable reports whether the body can still be sent from its start.
-func (b *Body) Replayable() bool {
-	return b == nil || !b.passed
+// Again prepares the body for another attempt and reports whether it can still
+// be sent from its start. Readers of earlier attempts fail from then on.
+func (b *Body) Again() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.passed {
+		return false
+	}
+	b.generation++
+	return true
 }
 
-// Read reads the body from its start, for use by one reader.
-func (b *Body) Read(p []byte) (int, error) {
-	if b == nil {
-		return 0, io.EOF
+// Reader returns a reader of the whole body. The length is as for Head.
+func (b *Body) Reader(length int64) (io.Reader, error) {
+	head, whole, err := b.Head(length)
+	if err != nil || b == nil {
+		return eof{}, err
 	}
-	if b.offset < len(b.head) {
-		n := copy(p, b.head[b.offset:])
-		b.offset += n
-		return n, nil
+	r := &reader{head: head, rest: eof{}}
+	if !whole {
+		r.rest = b.Rest()
 	}
-	return b.Rest().Read(p)
+	return r, nil
 }
 
-type rest struct{ b *Body }
+type reader struct {
+	head []byte
+	rest io.Reader
+}
+
+func (r *reader) Read(p []byte) (int, error) {
+	if len(r.head) == 0 {
+		return r.rest.Read(p)
+	}
+	n := copy(p, r.head)
+	r.head = r.head[n:]
+	return n, nil
+}
+
+type rest struct {
+	body       *Body
+	generation int
+}
 
 func (r rest) Read(p []byte) (int, error) {
-	r.b.passed = true
-	return r.b.source.Read(p)
+	if !r.pass() {
+		return 0, errSuperseded
+	}
+	return r.body.source.Read(p)
+}
+
+// pass notes that the body is read beyond its head, unless a later attempt has
+// begun.
+func (r rest) pass() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.generation != r.body.generation {
+		return false
+	}
+	r.body.passed = true
+	return true
 }
 
 // limited fails once more than left bytes were read.
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -73,4 +73,26 @@
 	// Load returns the latest load report that came with the answer, and false
 	// when there was none. It is nil for answers that carry no load.
 	Load func() (fleet.Load, bool)
+
+	size int64
+}
+
+// Next reads the next part of the body into p. The flag end is set when the
+// body was whole with this part; a body that ends early is an error.
+func (a *Answer) Next(p []byte) (n int, end bool, err error) {
+	n, err = a.Body.Read(p)
+	a.size += int64(n)
+	if err == nil && a.size == a.ContentLength {
+		var more [1]byte
+		var extra int
+		extra, err = a.Body.Read(more[:])
+		a.size += int64(extra)
+	}
+	if err == nil || !errors.Is(err, io.EOF) {
+		return n, false, err
+	}
+	if a.ContentLength >= 0 && a.size != a.ContentLength {
+		return n, false, errors.Wrapf(ErrCutOff, "%d of %d bytes", a.size, a.ContentLength)
+	}
+	return n, true, nil
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -104,7 +104,7 @@
 func (d *Dispatcher) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	service, route, err := d.prepare(r)
 	if err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	answer, err := d.route(ctx, service, route, r)
@@ -121,7 +121,7 @@
 		return d.accept(ctx, service, route, r)
 	}
 	if err := d.identify(r); err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	if d.keyed(route, r) {
 		return d.keyedCall(ctx, service, r)
@@ -186,7 +186,7 @@
 // failed with err.
 func (d *Dispatcher) again(ctx context.Context, service *policy.Service, r *call.Request, n int, err error) bool {
 	var e *outcome.Error
-	if !errors.As(err, &e) || ctx.Err() != nil || !r.Body.Replayable() {
+	if !errors.As(err, &e) || ctx.Err() != nil {
 		return false
 	}
 	if e.Outcome != outcome.NotRun && !r.Idempotent {
@@ -198,7 +198,10 @@
 	if e.Reason == outcome.TargetCrashed && n >= crashAttempts {
 		return false
 	}
-	return d.MayRetry == nil || d.MayRetry(service, r)
+	if d.MayRetry != nil && !d.MayRetry(service, r) {
+		return false
+	}
+	return r.Body.Again()
 }
 
 // passing are the reasons for failures after which another target may succeed.
@@ -263,20 +266,22 @@
 	return &settled
 }
 
+// unsettled reports whether an attempt that failed for the reason may be asked
+// about. The others failed at the target's daemon, which said what it knows.
 func unsettled(reason outcome.Reason) bool {
-	return reason == outcome.ConnectionLost || reason == outcome.DeadlineExceed || reason == outcome.Cancelled
+	switch reason { //nolint:exhaustive // the others are final
+	case outcome.ConnectionLost, outcome.DeadlineExceed, outcome.Cancelled, outcome.TooLarge, outcome.BadRequest:
+		return true
+	}
+	return false
 }
 
 func (d *Dispatcher) failed(result Result, err error) {
 	if d.Observe == nil {
 		return
 	}
-	result.Outcome = outcome.Of(err)
+	result.Outcome, result.Reason = outcome.Of(err), reasonOf(err)
 	result.EndedAt = d.now()
-	var e *outcome.Error
-	if errors.As(err, &e) {
-		result.Reason = e.Reason
-	}
 	d.Observe(result)
 }
 
@@ -314,3 +319,11 @@
 	}
 	return ""
 }
+
+func reasonOf(err error) outcome.Reason {
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -6,13 +6,19 @@
 	"io"
 
 	"pollenscale/core/call"
+	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
+
+	"github.com/cockroachdb/errors"
 )
 
 // keepBytes is the largest answer that is kept for a repeated key.
 const keepBytes = 16 << 10
 
+// maxForwards bounds how often the owner is looked up for one request.
+const maxForwards = 3
+
 // Claim is the permission of a key's owner to run a request once.
 type Claim struct {
 	// Fence goes with each attempt.
@@ -46,18 +52,58 @@
 // keyedCall has the key's owner decide, which may be this daemon.
 func (d *Dispatcher) keyedCall(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
 	if d.Owner == nil {
-		return nil, outcome.New(outcome.Unknown, outcome.KeyUnknown, "no owner of the key can be reached")
-	}
-	owner, own, err := d.Owner(ctx, service, r)
-	if err != nil {
-		return nil, err
-	}
-	if own {
-		return d.claimed(ctx, service, r)
+		return nil, unvouched("no owner of the key can be reached")
+	}
+	for n := 1; ; n++ {
+		owner, own, err := d.Owner(ctx, service, r)
+		if err != nil {
+			return nil, err
+		}
+		if own {
+			return d.claimed(ctx, service, r)
+		}
+		answer, moved, err := d.forward(ctx, owner, r)
+		if err == nil {
+			return answer, nil
+		}
+		if !moved || n >= maxForwards || ctx.Err() != nil || !r.Body.Again() {
+			return nil, err
+		}
 	}
+}
+
+// forward has the owner decide. The flag moved is set when the request surely
+// did not reach an owner's decision, so that the owner can be looked up again.
+//
+// An owner's own answer that the request did not run vouches for the key.
+// Any other evidence says only that this copy did not run, while an earlier
+// copy with the same key may have.
+func (d *Dispatcher) forward(ctx context.Context, owner fleet.Target, r *call.Request) (answer *call.Answer, moved bool, err error) {
 	forwarded := *r
 	forwarded.OwnKey = true
-	return d.try(ctx, owner, &forwarded)
+	open := d.Opener.Open(owner)
+	answer, err = d.Send(ctx, owner, open.Ref, &forwarded)
+	if err == nil {
+		answer.Body = &closer{ReadCloser: answer.Body, then: open.Close}
+		return answer, false, nil
+	}
+	vouched := outcome.Of(err) == outcome.NotRun && !undecided(err)
+	err = d.settled(ctx, owner, open.Ref, err)
+	open.Close()
+	if outcome.Of(err) != outcome.NotRun || vouched {
+		return nil, false, err
+	}
+	return nil, true, unvouched("the owner of the key did not decide: " + err.Error())
+}
+
+// undecided reports whether a refusal came before the owner looked at the key.
+func undecided(err error) bool {
+	r := reasonOf(err)
+	return r == outcome.ConnectionLost || r == outcome.StaleAttempt
+}
+
+func unvouched(detail string) error {
+	return outcome.New(outcome.Unknown, outcome.KeyUnknown, detail)
 }
 
 // Own decides about the key of a request that another entry forwarded, and
@@ -66,20 +112,32 @@
 	r.OwnKey = false
 	service, route, err := d.prepare(r)
 	if err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	if !d.keyed(route, r) {
-		return nil, outcome.New(outcome.NotRun, outcome.StaleAttempt, "the key rule changed")
+		return nil, unvouched("the key rule changed")
 	}
 	if err := d.identify(r); err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	return d.claimed(ctx, service, r)
 }
 
+// unlessKeyed replaces a refusal of a request whose key nobody has vouched for
+// by one that leaves open whether an earlier copy ran.
+func (d *Dispatcher) unlessKeyed(route policy.Route, r *call.Request, err error) error {
+	var e *outcome.Error
+	if !d.keyed(route, r) || !errors.As(err, &e) || e.Outcome != outcome.NotRun {
+		return err
+	}
+	open := *e
+	open.Outcome = outcome.Unknown
+	return &open
+}
+
 func (d *Dispatcher) claimed(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
 	if d.Claim == nil {
-		return nil, outcome.New(outcome.Unknown, outcome.KeyUnknown, "this daemon does not own the key")
+		return nil, unvouched("this daemon does not own the key")
 	}
 	claim, err := d.Claim(ctx, service, r)
 	if err != nil {
--- a/core/dispatch/prepare.go
+++ b/core/dispatch/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"strconv"
 
 	"pollenscale/core/call"
@@ -11,12 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrBodyTooLarge is returned by the reader of a request body that exceeds the
-// service's limit.
-var ErrBodyTooLarge = errors.New("request body too large")
-
 // prepare fills in what the request leaves to the configuration and refuses a
-// request that the configuration does not allow.
+// request that the configuration does not allow. The route is returned with an
+// error too, if there is one.
 func (d *Dispatcher) prepare(r *call.Request) (*policy.Service, policy.Route, error) {
 	service := d.Policy().Service(r.Service)
 	if service == nil {
@@ -28,10 +26,10 @@
 		r.Organisation = service.DefaultOrganisation
 	}
 	if err := d.rank(service, route, r); err != nil {
-		return nil, policy.Route{}, err
+		return nil, route, err
 	}
 	if r.Depth >= maxDepth {
-		return nil, policy.Route{}, outcome.New(outcome.NotRun, outcome.BadRequest, "more than "+strconv.Itoa(maxDepth)+" levels of calls")
+		return nil, route, outcome.New(outcome.NotRun, outcome.BadRequest, "more than "+strconv.Itoa(maxDepth)+" levels of calls")
 	}
 	return service, route, limitBody(service, r)
 }
@@ -64,23 +62,27 @@
 		return nil
 	}
 	if r.ContentLength > limit {
-		return tooLarge(limit)
+		return tooLarge(outcome.NotRun, limit)
 	}
 	if r.ContentLength < 0 {
-		r.Body.Limit(limit, ErrBodyTooLarge)
+		r.Body.Limit(limit, tooLarge(outcome.Unknown, limit))
 	}
 	return nil
 }
 
-func tooLarge(limit int64) error {
-	return outcome.New(outcome.NotRun, outcome.TooLarge, "the body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
+func tooLarge(o outcome.Outcome, limit int64) error {
+	return outcome.New(o, outcome.TooLarge, "the body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
 // bodyError describes a request body that could not be read before anything
 // was sent.
 func bodyError(err error) error {
-	if errors.Is(err, ErrBodyTooLarge) {
-		return outcome.New(outcome.NotRun, outcome.TooLarge, err.Error())
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return outcome.New(outcome.NotRun, e.Reason, e.Detail)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return outcome.New(outcome.NotRun, outcome.BadRequest, "the body was sent too slowly")
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return outcome.New(outcome.NotRun, outcome.BadRequest, "the body is shorter than its Content-Length")
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -103,11 +103,13 @@
 		record.Finish(outcome.NotRun)
 		return nil, notRun(err)
 	}
-	answer, err := s.run(ctx, record, release, r)
-	if err != nil {
+	// The target may have begun to drain while the request was queued.
+	if err := s.allowed(r); err != nil {
+		record.Finish(outcome.NotRun)
+		release(Ended{Outcome: outcome.NotRun, Reason: reason(err)})
 		return nil, err
 	}
-	return answer, nil
+	return s.run(ctx, record, release, r)
 }
 
 // allowed refuses requests that must not even wait for the target.
--- a/core/serve/state.go
+++ b/core/serve/state.go
@@ -2,22 +2,29 @@
 
 import (
 	"sync"
+	"time"
 
 	"pollenscale/core/fleet"
 )
 
-// State is what the target is ready for, joined from all signs. The first sign
-// of draining holds until the target is seen as a new instance, so that a
-// health endpoint that lags cannot bring work back.
+// drainFor is how long the target must have shown no sign of draining before a
+// report of the same process that it serves is believed. A health endpoint may
+// lag behind the signs in answers.
+const drainFor = 10 * time.Second
+
+// State is what the target is ready for, joined from all signs. The zero value
+// is ready for use.
 type State struct {
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
 	// Changed, if set, is called after each change, without any lock held.
 	Changed func(fleet.State)
 
 	mu       sync.Mutex
 	state    fleet.State
 	instance string
-	// draining is the instance that showed a sign of draining.
-	draining bool
+	// drainUntil is when the last sign of draining loses its effect.
+	drainUntil time.Time
 	// closing is set when the daemon itself stops.
 	closing bool
 	// down is set while the target cannot be reached.
@@ -36,12 +43,12 @@
 func (s *State) Report(state fleet.State, instance string) {
 	s.change(func() {
 		if instance != s.instance || s.down {
-			s.draining = false
+			s.drainUntil = time.Time{}
 		}
 		s.down = false
 		s.state, s.instance = state, instance
 		if !state.TakesWork() {
-			s.draining = true
+			s.drainUntil = s.now().Add(drainFor)
 		}
 	})
 }
@@ -51,7 +58,7 @@
 	if state.TakesWork() {
 		return
 	}
-	s.change(func() { s.draining = true })
+	s.change(func() { s.drainUntil = s.now().Add(drainFor) })
 }
 
 // Unreachable records that the target accepts no connections.
@@ -79,10 +86,17 @@
 	switch {
 	case s.down:
 		return fleet.Leaving
-	case s.closing || s.draining:
+	case s.closing || !s.drainUntil.IsZero() && s.now().Before(s.drainUntil):
 		return fleet.Draining
 	case s.state == "":
 		return fleet.Cold
 	}
 	return s.state
 }
+
+func (s *State) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -164,6 +165,7 @@
 		return d.Peer.Send(ctx, t, ref, r)
 	}
 	own := *r
+	own.Header = maps.Clone(r.Header) // the target side changes it
 	return d.Serve.Invoke(ctx, ref, &own)
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -51,7 +51,8 @@
 func (s *Server) Start() {
 	e := echo.New()
 	e.HideBanner = true
-	e.Any("/*", s.handle)
+	// Before routing, so that requests of all methods and paths pass.
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc { return s.handle })
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -117,7 +118,7 @@
 		return
 	}
 	control := http.NewResponseController(w)
-	r.Body = call.NewBody(&progress{body: request.Body, control: control, deadline: r.Deadline}, request.ContentLength)
+	r.Body = call.NewBody(&progress{body: request.Body, control: control, request: r}, request.ContentLength)
 	if request.ProtoMajor == 1 && (request.ContentLength < 0 || request.ContentLength > call.ReplayBytes) {
 		if err := control.EnableFullDuplex(); err != nil {
 			s.Log.Debug("caller: no full duplex.", "error", err)
@@ -133,6 +134,13 @@
 			s.Log.Debug("caller: closing an answer failed.", "error", err)
 		}
 	}()
+	p, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	first, end, err := readFirst(*p, answer)
+	if err != nil {
+		s.cutOff(fail(w, brokenAnswer(err)))
+		return
+	}
 	h := w.Header()
 	for name, values := range answer.Header {
 		if !hopByHop(name) {
@@ -144,50 +152,77 @@
 		h["Content-Length"] = []string{strconv.FormatInt(answer.ContentLength, 10)}
 	}
 	w.WriteHeader(answer.Status)
-	if err := copyBody(w, answer); err != nil {
+	if _, err = w.Write((*p)[:first]); err == nil && !end {
+		err = copyBody(w, *p, answer)
+	}
+	s.cutOff(err)
+}
+
+// cutOff aborts the connection or stream of an answer that is not whole.
+func (s *Server) cutOff(err error) {
+	if err != nil {
 		s.Log.Debug("caller: an answer was cut off.", "error", err)
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// copyBody streams the body. Parts of a body of unknown size are sent at once.
-func copyBody(w http.ResponseWriter, answer *call.Answer) error {
-	p, _ := buffers.Get().(*[]byte)
-	defer buffers.Put(p)
+// readFirst reads the start of the answer, and all of a short one, so that the
+// failure of a short answer can be told in full.
+func readFirst(p []byte, answer *call.Answer) (n int, end bool, err error) {
+	short := answer.ContentLength >= 0 && answer.ContentLength <= int64(len(p))
+	for {
+		var m int
+		m, end, err = answer.Next(p[n:])
+		n += m
+		if end || err != nil || !short {
+			return n, end, err
+		}
+	}
+}
+
+// brokenAnswer describes the failure of an answer before any of it was sent.
+func brokenAnswer(err error) error {
+	reason := outcome.ConnectionLost
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		reason = e.Reason
+	}
+	return outcome.New(outcome.Run, reason, "the answer was cut off")
+}
+
+// copyBody streams the body after its first part. Parts of a body of unknown
+// size are sent at once.
+func copyBody(w http.ResponseWriter, p []byte, answer *call.Answer) error {
 	flush := answer.ContentLength < 0
 	for {
-		n, err := answer.Body.Read(*p)
-		if n > 0 {
-			if _, err := w.Write((*p)[:n]); err != nil {
+		if flush {
+			if err := http.NewResponseController(w).Flush(); err != nil {
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
+		n, end, err := answer.Next(p)
 		if err != nil {
 			return err
 		}
-		if flush && n > 0 {
-			if err := http.NewResponseController(w).Flush(); err != nil {
-				return err
-			}
+		if _, err := w.Write(p[:n]); err != nil || end {
+			return err
 		}
 	}
 }
 
 // progress bounds each read of a request body.
 type progress struct {
-	body     io.Reader
-	control  *http.ResponseController
-	deadline time.Time
+	body    io.Reader
+	control *http.ResponseController
+	// request has its deadline by the time of the first read.
+	request *call.Request
 }
 
 // Read reads from the caller, who must send something within the stall timeout.
 func (p *progress) Read(b []byte) (int, error) {
 	until := time.Now().Add(stallTimeout)
-	if p.deadline.After(time.Time{}) && p.deadline.Before(until) {
-		until = p.deadline
+	if d := p.request.Deadline; !d.IsZero() && d.Before(until) {
+		until = d
 	}
 	if err := p.control.SetReadDeadline(until); err != nil {
 		return 0, err
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -38,6 +38,10 @@
 
 // parse converts a request of a caller. An error is an *outcome.Error.
 func parse(request *http.Request, now time.Time) (*call.Request, error) {
+	if request.ProtoMajor == 1 && request.ProtoMinor == 0 {
+		// An answer of unknown size that is cut off looks whole in HTTP/1.0.
+		return nil, bad("protocol", request.Proto, "HTTP/1.1 or HTTP/2")
+	}
 	h := request.Header
 	r := &call.Request{
 		Service:       fleet.Service(h.Get(headerService)),
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -20,13 +20,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Client sends to other daemons. Attempts and control messages use separate
-// connections, so that a binding answer can be had when the connection of an
-// attempt is silent or filled by bodies.
+// Client sends to other daemons. Attempts, attempts with large request bodies
+// and control messages use separate connections: a binding answer can be had
+// when the connection of an attempt is silent, and bodies that a target reads
+// slowly do not use up the receive window of other attempts.
 type Client struct {
-	// Now returns the current time; nil means time.Now.
 	now      func() time.Time
 	attempts *http.Client
+	bulk     *http.Client
 	control  *http.Client
 
 	mu    sync.RWMutex
@@ -36,6 +37,7 @@
 // remote is a daemon at one address.
 type remote struct {
 	attempts peerpbconnect.PeerClient
+	bulk     peerpbconnect.PeerClient
 	control  peerpbconnect.PeerClient
 }
 
@@ -44,6 +46,7 @@
 	return &Client{
 		now:      time.Now,
 		attempts: newHTTPClient(),
+		bulk:     newHTTPClient(),
 		control:  newHTTPClient(),
 		peers:    map[string]remote{},
 	}
@@ -53,7 +56,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		Protocols:          protocols(),
-		HTTP2:              http2Config(),
+		HTTP2:              clientConfig(),
 		DialContext:        dialer.DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    time.Minute,
@@ -62,6 +65,7 @@
 
 // Close closes idle connections.
 func (c *Client) Close() {
+	c.bulk.CloseIdleConnections()
 	c.attempts.CloseIdleConnections()
 	c.control.CloseIdleConnections()
 }
@@ -73,7 +77,20 @@
 
 // Settle asks the target's daemon for a binding answer about an attempt.
 func (c *Client) Settle(ctx context.Context, target fleet.Target, ref attempt.Ref) (attempt.Settlement, error) {
-	response, err := c.Control(target.PeerAddress).Settle(ctx, connect.NewRequest(&peerpb.SettleRequest{
+	settlement, err := settle(ctx, c.Control(target.PeerAddress), ref, time.Now().Add(firstSettle))
+	if err == nil || ctx.Err() != nil {
+		return settlement, err
+	}
+	// The connection for control messages may be silent too.
+	fresh := newHTTPClient()
+	defer fresh.CloseIdleConnections()
+	return settle(ctx, newPeerClient(fresh, target.PeerAddress), ref, time.Now().Add(secondSettle))
+}
+
+func settle(ctx context.Context, client peerpbconnect.PeerClient, ref attempt.Ref, until time.Time) (attempt.Settlement, error) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	response, err := client.Settle(ctx, connect.NewRequest(&peerpb.SettleRequest{
 		Attempt:           packID(ref.ID),
 		TargetIncarnation: uint64(ref.Target),
 		OpenFrom:          uint64(ref.OpenFrom),
@@ -104,18 +121,25 @@
 	if err != nil {
 		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, err.Error())
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	remote := c.remote(target.PeerAddress)
+	client := remote.attempts
+	if !whole {
+		client = remote.bulk
+	}
 	s := &exchange{
-		stream: c.remote(target.PeerAddress).attempts.Invoke(ctx),
+		stream: client.Invoke(ctx),
 		tag:    tag(ref.ID),
+		ctx:    ctx,
 		cancel: cancel,
 		now:    c.now,
 	}
 	first := &peerpb.InvokeRequest{Head: packRef(ref, c.now(), r), Body: head, End: whole, AttemptTag: s.tag}
 	answer, err := s.start(first, r)
 	if err != nil {
+		err = describe(ctx, err)
 		s.close()
-		return nil, describe(ctx, err)
+		return nil, err
 	}
 	return answer, nil
 }
@@ -131,6 +155,7 @@
 	defer c.mu.Unlock()
 	r = remote{
 		attempts: newPeerClient(c.attempts, address),
+		bulk:     newPeerClient(c.bulk, address),
 		control:  newPeerClient(c.control, address),
 	}
 	c.peers[address] = r
@@ -148,7 +173,7 @@
 // sent when the connection could not be opened.
 func describe(ctx context.Context, err error) error {
 	var own *outcome.Error
-	if errors.As(err, &own) {
+	if errors.As(err, &own) || errors.As(context.Cause(ctx), &own) {
 		return own
 	}
 	var op *net.OpError
@@ -168,7 +193,8 @@
 type exchange struct {
 	stream *connect.BidiStreamForClient[peerpb.InvokeRequest, peerpb.InvokeResponse]
 	tag    uint64
-	cancel func()
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	now    func() time.Time
 	sender errgroup.Group
 	// sent is set once the rest of the request body was asked for.
@@ -216,9 +242,13 @@
 	}
 	s.sent = true
 	rest := r.Body.Rest()
+	// The transport does not notice the end of the context while it waits for
+	// more of the request body, so the body is ended too. The receiver takes
+	// it as cut off, since the last message is missing.
+	context.AfterFunc(s.ctx, func() { _ = s.stream.CloseRequest() })
 	s.sender.Go(func() error {
 		if err := s.sendRest(rest); err != nil {
-			s.cancel()
+			s.cancel(err)
 			return err
 		}
 		return s.stream.CloseRequest()
@@ -232,7 +262,7 @@
 		n, err := rest.Read(*p)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
-			return err
+			return unreadable(err)
 		}
 		m := &peerpb.InvokeRequest{Body: (*p)[:n], End: end, AttemptTag: s.tag}
 		if err := s.stream.Send(m); errors.Is(err, io.EOF) {
@@ -246,6 +276,15 @@
 	}
 }
 
+// unreadable describes a request body that the caller did not complete.
+func unreadable(err error) error {
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return outcome.New(outcome.Unknown, outcome.BadRequest, "the body could not be read: "+err.Error())
+}
+
 // answer converts the head of an answer, or the error that it carries.
 func (s *exchange) answer(m *peerpb.InvokeResponse, id *peerpb.AttemptID) (*call.Answer, error) {
 	head := m.GetHead()
@@ -268,7 +307,7 @@
 }
 
 func (s *exchange) close() {
-	s.cancel()
+	s.cancel(nil)
 }
 
 // answerBody reads the frames of an answer.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -33,27 +33,38 @@
 	pingTimeout = 500 * time.Millisecond
 	// dialTimeout bounds connecting to another region.
 	dialTimeout = 500 * time.Millisecond
+	// firstSettle bounds the first request for a binding answer, on an existing
+	// connection, and secondSettle the next one, on a new connection.
+	firstSettle  = 400 * time.Millisecond
+	secondSettle = time.Second
 	// streamWindow bounds what one body buffers in a daemon, and
-	// connectionWindow what all bodies from one peer buffer.
+	// connectionWindow what all request bodies from one connection buffer.
 	streamWindow     = 256 << 10
-	connectionWindow = 1 << 20
+	connectionWindow = 2 << 20
+	maxFrameBytes    = 64 << 10
 	// maxStreams bounds the attempts that a peer may have open.
 	maxStreams = 10000
 )
 
-// http2Config is used on both ends of peer connections.
-func http2Config() *http.HTTP2Config {
+func clientConfig() *http.HTTP2Config {
 	return &http.HTTP2Config{
-		MaxConcurrentStreams:          maxStreams,
-		MaxReadFrameSize:              64 << 10,
-		MaxReceiveBufferPerConnection: connectionWindow,
-		MaxReceiveBufferPerStream:     streamWindow,
-		SendPingTimeout:               pingAfter,
-		PingTimeout:                   pingTimeout,
-		WriteByteTimeout:              pingAfter + pingTimeout,
+		MaxReadFrameSize: maxFrameBytes,
+		// The receive window of the connection stays at its large default:
+		// answers that callers read slowly would use up a small one.
+		MaxReceiveBufferPerStream: streamWindow,
+		SendPingTimeout:           pingAfter,
+		PingTimeout:               pingTimeout,
+		WriteByteTimeout:          pingAfter + pingTimeout,
 	}
 }
 
+func serverConfig() *http.HTTP2Config {
+	c := clientConfig()
+	c.MaxConcurrentStreams = maxStreams
+	c.MaxReceiveBufferPerConnection = connectionWindow
+	return c
+}
+
 func protocols() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
@@ -163,12 +174,15 @@
 }
 
 func packRef(ref attempt.Ref, sentAt time.Time, r *call.Request) *peerpb.InvokeHead {
+	// The time left is taken from the monotonic clock, so that a clock step
+	// since the arrival of the request does not change it.
+	deadline := sentAt.Add(r.Deadline.Sub(sentAt))
 	head := &peerpb.InvokeHead{
 		Attempt:           packID(ref.ID),
 		TargetIncarnation: uint64(ref.Target),
 		OpenFrom:          uint64(ref.OpenFrom),
 		SentAt:            timestamppb.New(sentAt),
-		Deadline:          timestamppb.New(r.Deadline),
+		Deadline:          timestamppb.New(deadline),
 		Service:           string(r.Service),
 		Organisation:      string(r.Organisation),
 		Rank:              string(r.Rank),
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -64,7 +64,7 @@
 	s.http = &http.Server{
 		Handler:           mux,
 		Protocols:         protocols(),
-		HTTP2:             http2Config(),
+		HTTP2:             serverConfig(),
 		ReadHeaderTimeout: headerTimeout,
 	}
 }
@@ -82,6 +82,7 @@
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first message has no attempt"))
 	}
 	x := newIncoming(stream, first)
+	defer x.end()
 	r := unpackRequest(first.GetHead(), time.Now())
 	r.Body = x.body(first, r.ContentLength)
 	answer, err := h.s.Invoke(ctx, unpackRef(first.GetHead()), r)
@@ -139,7 +140,7 @@
 	tag    uint64
 
 	// mu guards sending, which is done by the reader of the request body and
-	// by the handler.
+	// by the handler. The reader may outlive the handler.
 	mu       sync.Mutex
 	answered bool
 }
@@ -187,10 +188,9 @@
 	}}
 	var size int64
 	for {
-		n, err := answer.Body.Read(*p)
+		n, end, err := answer.Next(*p)
 		size += int64(n)
-		end := errors.Is(err, io.EOF) || err == nil && size == answer.ContentLength
-		if err != nil && !end {
+		if err != nil {
 			return connect.NewError(connect.CodeDataLoss, err)
 		}
 		m.Body = (*p)[:n]
@@ -220,6 +220,13 @@
 	return x.stream.Send(m)
 }
 
+// end prevents sending after the handler has returned.
+func (x *incoming) end() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.answered = true
+}
+
 // proceed asks for the rest of the request body, unless the answer has begun.
 func (x *incoming) proceed() error {
 	x.mu.Lock()
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -1,10 +1,9 @@
 // Package target talks to the target beside the daemon over HTTP/1.1 and reads
 // its health and load.
 //
-// The target shows that it stops taking work in one of three ways, each of
-// which is a sign of draining: its health endpoint says so, an answer carries
-// the header Pollenscale-State, or an answer with status 503 closes the
-// connection.
+// The target shows that it stops taking work in one of two ways, each of which
+// is a sign of draining: its health endpoint says so, or an answer carries the
+// header Pollenscale-State.
 package target
 
 import (
@@ -42,6 +41,8 @@
 	// idleConnections is the number of connections per target in both fleets.
 	idleConnections = 200
 	bufferBytes     = 16 << 10
+	// maxHeaderBytes keeps the head of an answer within one message to a peer.
+	maxHeaderBytes = 256 << 10
 )
 
 // Client sends requests to the target.
@@ -64,7 +65,9 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		WriteBufferSize:        bufferBytes,
 	}
 	return c
 }
@@ -109,7 +112,11 @@
 	setRequestHeader(request.Header, r)
 	request.ContentLength = r.ContentLength
 	if r.Body != nil {
-		request.Body = io.NopCloser(r.Body)
+		body, err := r.Body.Reader(r.ContentLength)
+		if err != nil {
+			return nil, err
+		}
+		request.Body = io.NopCloser(body)
 		return request, nil
 	}
 	request.ContentLength = 0
@@ -193,6 +200,9 @@
 		ContentLength: response.ContentLength,
 		Body:          &body{client: c, ReadCloser: response.Body},
 	}
+	if response.Body == http.NoBody {
+		answer.ContentLength = 0 // the header field may describe a body that is not sent
+	}
 	if shed(response) {
 		answer.Outcome = outcome.NotRun
 	}
@@ -216,8 +226,6 @@
 	}
 	if s := fleet.State(response.Header.Get(HeaderState)); s.Valid() {
 		c.SeenState(s)
-	} else if response.Close && response.StatusCode == http.StatusServiceUnavailable {
-		c.SeenState(fleet.Draining)
 	}
 }
 
