--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -106,7 +106,7 @@
 func (d *Dispatcher) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	service, route, err := d.prepare(r)
 	if err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	answer, err := d.route(ctx, service, route, r)
@@ -123,7 +123,7 @@
 		return d.accept(ctx, service, route, r)
 	}
 	if err := d.identify(r); err != nil {
-		return nil, err
+		return nil, d.unlessKeyed(route, r, err)
 	}
 	if d.keyed(route, r) {
 		return d.keyedCall(ctx, service, r)
@@ -190,7 +190,7 @@
 // failed with err.
 func (d *Dispatcher) again(ctx context.Context, service *policy.Service, r *call.Request, failed retry.Attempt, err error) bool {
 	var e *outcome.Error
-	if !errors.As(err, &e) || ctx.Err() != nil || !r.Body.Replayable() {
+	if !errors.As(err, &e) || ctx.Err() != nil {
 		return false
 	}
 	if e.Outcome != outcome.NotRun && !r.Idempotent {
@@ -202,7 +202,10 @@
 	if e.Reason == outcome.TargetCrashed && failed.Number >= crashAttempts {
 		return false
 	}
-	return d.MayRetry == nil || d.MayRetry(service, r, failed)
+	if d.MayRetry != nil && !d.MayRetry(service, r, failed) {
+		return false
+	}
+	return r.Body.Again()
 }
 
 // passing are the reasons for failures after which another target may succeed.
@@ -267,22 +270,25 @@
 	return &settled
 }
 
+// unsettled reports whether an attempt that failed for the reason may be asked
+// about. The others failed at the target's daemon, which said what it knows.
 func unsettled(reason outcome.Reason) bool {
-	return reason == outcome.ConnectionLost || reason == outcome.DeadlineExceed || reason == outcome.Cancelled
+	switch reason { //nolint:exhaustive // the others are final
+	case outcome.ConnectionLost, outcome.DeadlineExceed, outcome.Cancelled, outcome.TooLarge, outcome.BadRequest:
+		return true
+	}
+	return false
 }
 
 func (d *Dispatcher) failed(result Result, err error) {
 	if d.Observe == nil {
 		return
 	}
-	result.Outcome = outcome.Of(err)
+	result.Outcome, result.Reason = outcome.Of(err), reasonOf(err)
 	result.EndedAt = d.now()
 	var e *outcome.Error
-	if errors.As(err, &e) {
-		result.Reason = e.Reason
-		if e.Load != nil {
-			result.Load, result.HasLoad = *e.Load, true
-		}
+	if errors.As(err, &e) && e.Load != nil {
+		result.Load, result.HasLoad = *e.Load, true
 	}
 	d.Observe(result)
 }
@@ -321,3 +327,11 @@
 	}
 	return ""
 }
+
+func reasonOf(err error) outcome.Reason {
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
--- a/internal/daemon/uploads.go
+++ b/internal/daemon/uploads.go
@@ -58,6 +58,10 @@
 
 // accept stores a deferred request and answers 202.
 func (u *uploads) accept(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
+	body, err := r.Body.Reader(r.ContentLength)
+	if err != nil {
+		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, err.Error())
+	}
 	record, err := u.courier.Accept(ctx, upload.Request{
 		Service:      service.Name,
 		Organisation: r.Organisation,
@@ -67,7 +71,7 @@
 		Size:         fleet.Bytes(r.ContentLength),
 		Idempotent:   service.Route(r.Method, r.Path).Idempotent,
 		Key:          r.Key,
-	}, r.Body)
+	}, body)
 	if err != nil {
 		return nil, err
 	}
