internal/daemon: hand key slots over on a planned stop

Cause: a test that stops the owner of a key's slot found that nobody took the slot over for a minute. The stopping daemon acquired the leases again that it had just released; other daemons that had read the row before the release did not look again until the expiry; the list of held leases was announced in random order, which looked like a change every 200 ms; and daemons that started together could join in groups that did not know of one another.

Change: leases are released first when draining and not acquired again, a change of a member of the own service makes vacant leases worth another look, the announced list is sorted, and seeds that belong to no member are contacted again. An entry whose owner moved looks it up again for up to 2 s.

--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"time"
 
 	"pollenscale/core/call"
 	"pollenscale/core/fleet"
@@ -16,9 +17,6 @@
 // keepBytes is the largest answer that is kept for a repeated key.
 const keepBytes = 16 << 10
 
-// maxForwards bounds how often the owner is looked up for one request.
-const maxForwards = 3
-
 // Claim is the permission of a key's owner to run a request once.
 type Claim struct {
 	// Fence goes with each attempt.
@@ -41,6 +39,13 @@
 	Kept bool
 }
 
+const (
+	// handoverWait bounds the wait for a new owner after a planned stop. After a
+	// crash the lease runs for up to a minute, which no caller waits out.
+	handoverWait  = 2 * time.Second
+	handoverPause = 50 * time.Millisecond
+)
+
 // keyed reports whether an owner decides about the request.
 func (d *Dispatcher) keyed(route policy.Route, r *call.Request) bool {
 	if r.Key == "" || route.Idempotent {
@@ -49,29 +54,50 @@
 	return route.KeyRule == policy.KeyStamped || route.KeyRule == policy.KeyRecorded
 }
 
-// keyedCall has the key's owner decide, which may be this daemon.
+// keyedCall has the key's owner decide, which may be this daemon. While the
+// owner changes, it is looked up again.
 func (d *Dispatcher) keyedCall(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
 	if d.Owner == nil {
 		return nil, unvouched("no owner of the key can be reached")
 	}
-	for n := 1; ; n++ {
-		owner, own, err := d.Owner(ctx, service, r)
-		if err != nil {
-			return nil, err
-		}
-		if own {
-			return d.claimed(ctx, service, r)
-		}
-		answer, moved, err := d.forward(ctx, owner, r)
+	until := d.now().Add(handoverWait)
+	for {
+		answer, moved, err := d.decide(ctx, service, r)
 		if err == nil {
 			return answer, nil
 		}
-		if !moved || n >= maxForwards || ctx.Err() != nil || !r.Body.Again() {
+		if !moved || d.now().After(until) || !pause(ctx, handoverPause) || !r.Body.Again() {
 			return nil, err
 		}
 	}
 }
 
+// decide looks up the owner once. The flag moved is set when the request surely
+// did not reach an owner's decision.
+func (d *Dispatcher) decide(ctx context.Context, service *policy.Service, r *call.Request) (answer *call.Answer, moved bool, err error) {
+	owner, own, err := d.Owner(ctx, service, r)
+	if err != nil {
+		return nil, true, err
+	}
+	if !own {
+		return d.forward(ctx, owner, r)
+	}
+	answer, err = d.claimed(ctx, service, r)
+	return answer, false, err
+}
+
+// pause waits and reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // forward has the owner decide. The flag moved is set when the request surely
 // did not reach an owner's decision, so that the owner can be looked up again.
 //
@@ -99,7 +125,7 @@
 // undecided reports whether a refusal came before the owner looked at the key.
 func undecided(err error) bool {
 	r := reasonOf(err)
-	return r == outcome.ConnectionLost || r == outcome.StaleAttempt
+	return r == outcome.ConnectionLost || r == outcome.StaleAttempt || r == outcome.Draining
 }
 
 func unvouched(detail string) error {
--- a/core/lease/acquire.go
+++ b/core/lease/acquire.go
@@ -112,6 +112,15 @@
 	return ok && b.version == c.row.Version
 }
 
+// Recheck makes the next look read all vacant leases again, whatever expiry was
+// read before. It is called when a daemon that may have held one has changed,
+// since a release ends a lease long before its expiry.
+func (h *Holder) Recheck() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.busy)
+}
+
 func (h *Holder) markBusy(c candidate, wait time.Duration) {
 	now := h.Clock()
 	h.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -229,6 +229,7 @@
 	d.keys.policy = d.config.current
 	d.keys.ownerOf = d.members.ownerOf
 	d.keys.changed = d.members.setKeySlots
+	d.members.colleague = d.keys.holder.Recheck
 	d.Dispatch.Owner = d.keys.owner
 	d.Dispatch.Claim = d.keys.claim
 	d.Serve.Fenced = d.keys.fenced
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -10,15 +10,16 @@
 	d.Log.Info("daemon: draining.")
 	d.State.Close()
 	d.Caller.Drain()
-	// Entries and callers learn of the drain from probes and answers. Requests
-	// that arrive until then are still served or refused as not run.
-	time.Sleep(d.Settings.Drain.Duration())
-	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Stop.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Drain.Duration()+d.Settings.Stop.Duration())
 	defer cancel()
 	if d.keys != nil {
+		// First, so that the next owners are known before this daemon ends.
 		d.keys.release(ctx)
 		d.uploads.courier.Drain(ctx)
 	}
+	// Entries and callers learn of the drain from probes and answers. Requests
+	// that arrive until then are still served or refused as not run.
+	time.Sleep(d.Settings.Drain.Duration())
 	// Callers first, since their requests need connections to peers.
 	if err := d.Caller.Shutdown(ctx); err != nil {
 		d.Log.Warn("daemon: requests of callers did not complete.", "error", err)
@@ -27,6 +28,7 @@
 	if err := d.PeerSide.Shutdown(ctx); err != nil {
 		d.Log.Warn("daemon: attempts of peers did not complete.", "error", err)
 	}
+	d.members.leave()
 	d.Log.Info("daemon: stopped.")
 	return nil
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -14,6 +14,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/policy"
 	"pollenscale/internal/settings"
+	"pollenscale/standin/memstore"
 	standin "pollenscale/standin/target"
 
 	"github.com/matryer/is"
@@ -28,6 +29,7 @@
 	address string
 	stop    func()
 	done    errgroup.Group
+	stopped chan struct{}
 }
 
 // testFleet is some daemons that know each other.
@@ -47,9 +49,19 @@
 // of the test.
 func startFleet(t *testing.T, services ...fleet.Service) *testFleet {
 	t.Helper()
+	return startStoreFleet(t, nil, services...)
+}
+
+// startStoreFleet starts daemons that share a store.
+func startStoreFleet(t *testing.T, s *memstore.Store, services ...fleet.Service) *testFleet {
+	t.Helper()
+	options := []Option{WithLog(slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	if s != nil {
+		options = append(options, WithStore(s.Tables(), s.Objects()))
+	}
 	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	for i, service := range services {
-		f.nodes = append(f.nodes, newNode(t, service, string(rune('a'+i))))
+		f.nodes = append(f.nodes, newNode(t, service, string(rune('a'+i)), options...))
 	}
 	for _, m := range f.nodes {
 		f.introduce(m)
@@ -71,7 +83,7 @@
 	}
 }
 
-func newNode(t *testing.T, service fleet.Service, name string) *node {
+func newNode(t *testing.T, service fleet.Service, name string, options ...Option) *node {
 	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -90,7 +102,7 @@
 		Policy:        &set,
 		Drain:         1200,
 		Stop:          5000,
-	}, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	}, options...)
 	is.NoErr(err)
 	return m
 }
@@ -98,7 +110,11 @@
 func (m *node) start(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
-	m.done.Go(func() error { return m.Run(ctx) })
+	m.stopped = make(chan struct{})
+	m.done.Go(func() error {
+		defer close(m.stopped)
+		return m.Run(ctx)
+	})
 	t.Cleanup(func() {
 		m.Settings.Drain = 0
 		m.stop()
@@ -115,6 +131,11 @@
 			m.Daemon.members.need(other.Own.Service)
 		}
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.dump(t)
+		}
+	})
 	eventually(t, 3*time.Second, func() bool {
 		for _, m := range f.nodes {
 			for _, r := range m.Daemon.members.list.All() {
@@ -130,6 +151,14 @@
 	})
 }
 
+func (f *testFleet) dump(t *testing.T) {
+	for _, m := range f.nodes {
+		for _, r := range m.Daemon.members.list.All() {
+			t.Logf("%s knows %s: %s %s slots %d inc %d rev %d joined %v", m.Own.Daemon, r.Daemon, r.State, r.Health, r.Slots, r.Incarnation, r.Revision, m.Daemon.members.list.Joined())
+		}
+	}
+}
+
 func eventually(t *testing.T, within time.Duration, f func() bool) {
 	t.Helper()
 	until := time.Now().Add(within)
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"pollenscale/core/call"
@@ -30,6 +32,9 @@
 	recorder *idempotency.Recorder
 	tables   [idempotency.Slots]*idempotency.Table
 	tokens   lease.Tokens
+	// stopping is set before the leases are released, so that they are not
+	// acquired again.
+	stopping atomic.Bool
 	// policy returns the configuration in force.
 	policy func() *policy.Set
 	// ownerOf returns the member that says it owns a slot.
@@ -54,7 +59,7 @@
 // that is known.
 func (k *keys) vacant() []lease.Name {
 	service := k.policy().Service(k.own.Service)
-	if service == nil || !hasKeys(service) {
+	if k.stopping.Load() || service == nil || !hasKeys(service) {
 		return nil
 	}
 	var names []lease.Name
@@ -162,7 +167,13 @@
 			return nil
 		case <-ticker.C:
 		}
+		if k.stopping.Load() {
+			// Others would look at a lease before it is released, and then not
+			// again before its expiry.
+			continue
+		}
 		grants := k.holder.Grants()
+		slices.SortFunc(grants, func(a, b lease.Grant) int { return strings.Compare(string(a.Name), string(b.Name)) })
 		if !slices.EqualFunc(grants, last, sameToken) {
 			last = grants
 			k.changed(grants)
@@ -177,6 +188,7 @@
 // release waits for the claims under way and gives the leases back, so that
 // the next owners need not wait for the leases to expire.
 func (k *keys) release(ctx context.Context) {
+	k.stopping.Store(true)
 	var group errgroup.Group
 	for slot, table := range k.tables {
 		name := idempotency.LeaseName(k.own.Service, slot)
@@ -191,4 +203,5 @@
 	if err := group.Wait(); err != nil {
 		k.log.Warn("lease: not released; it ends by itself.", "error", err)
 	}
+	k.changed(nil)
 }
--- /dev/null
+++ b/internal/daemon/keys_test.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pollenscale/core/idempotency"
+	"pollenscale/core/lease"
+	"pollenscale/standin/memstore"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+)
+
+// keyStep is one step of a script about idempotency keys.
+type keyStep struct {
+	Do                      string
+	Node                    int
+	Path, Key               string
+	Body                    string
+	WantStatus              int
+	WantOutcome, WantReason string
+}
+
+type keyCase struct {
+	Name     string
+	Steps    []keyStep
+	WantRuns map[string]int
+}
+
+// keyRun is a script under way.
+type keyRun struct {
+	fleet *testFleet
+	store *memstore.Store
+	keys  map[string]string
+}
+
+// TestKeys guards against a second run of a request whose key is sent again to
+// another daemon, while the store is down, and after the owner has stopped.
+func TestKeys(t *testing.T) {
+	var cases []keyCase
+	loadJSON(t, "keys.json", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			s := memstore.New()
+			r := &keyRun{fleet: startStoreFleet(t, s, "desk", "agenda", "agenda", "agenda"), store: s, keys: map[string]string{}}
+			r.waitOwners(t, 0)
+			for _, step := range c.Steps {
+				r.step(t, step)
+			}
+			for key, want := range c.WantRuns {
+				is.New(t).Equal(len(r.fleet.ran(key)), want) // runs of the key
+			}
+		})
+	}
+}
+
+func (r *keyRun) step(t *testing.T, s keyStep) {
+	t.Helper()
+	switch s.Do {
+	case "Send":
+		r.send(t, s)
+	case "StoreDown":
+		r.store.SetFaults(memstore.Faults{Down: true})
+	case "StoreUp":
+		r.store.SetFaults(memstore.Faults{})
+	case "StopOwner":
+		r.stopOwner(t, r.key(s.Key))
+	case "WaitOwners":
+		r.waitOwners(t, s.Node)
+	default:
+		t.Fatalf("unknown step %q", s.Do)
+	}
+}
+
+// key returns the UUIDv7 that stands for a name in the script.
+func (r *keyRun) key(name string) string {
+	if r.keys[name] == "" {
+		r.keys[name] = uuid.Must(uuid.NewV7()).String()
+	}
+	return r.keys[name]
+}
+
+func (r *keyRun) send(t *testing.T, s keyStep) {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.fleet.nodes[s.Node].CallerAddress()+s.Path, strings.NewReader(s.Body))
+	is.NoErr(err)
+	request.Header.Set("Pollenscale-Service", "agenda")
+	request.Header.Set("Idempotency-Key", r.key(s.Key))
+	request.Header.Set("Standin-Id", s.Key)
+	response, err := r.fleet.client.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	var p struct{ Reason, Detail string }
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		is.NoErr(json.Unmarshal(data, &p))
+		t.Logf("%s %s: %s", s.Do, s.Key, p.Detail)
+	}
+	is.Equal([]any{response.StatusCode, response.Header.Get("Pollenscale-Outcome"), p.Reason}, []any{s.WantStatus, s.WantOutcome, s.WantReason})
+}
+
+// stopOwner stops the daemon that owns the key's slot, gracefully.
+func (r *keyRun) stopOwner(t *testing.T, key string) {
+	t.Helper()
+	name := idempotency.LeaseName("agenda", idempotency.Key{Value: key}.Slot())
+	for _, n := range r.fleet.nodes {
+		if n.Daemon.keys == nil {
+			continue
+		}
+		if _, held := n.Daemon.keys.holder.Held(name); held {
+			n.stop()
+			<-n.stopped
+			return
+		}
+	}
+	t.Fatal("the slot has no owner")
+}
+
+// waitOwners waits until the node knows the owners of all slots.
+func (r *keyRun) waitOwners(t *testing.T, node int) {
+	t.Helper()
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		for slot := range idempotency.Slots {
+			name := idempotency.LeaseName("agenda", slot)
+			row, _, _ := r.store.Tables().Read(context.Background(), lease.LeaseTable, string(name))
+			owner, token, ok := r.fleet.nodes[node].Daemon.members.ownerOf("agenda", name)
+			t.Logf("%s: row %s, known owner %s %d %v", name, row.Value, owner.Daemon, token, ok)
+		}
+	})
+	eventually(t, 6*time.Second, func() bool {
+		for slot := range idempotency.Slots {
+			if _, _, ok := r.fleet.nodes[node].Daemon.members.ownerOf("agenda", idempotency.LeaseName("agenda", slot)); !ok {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -23,6 +23,8 @@
 const (
 	// contactInterval is the mean time between checks of the own contact row.
 	contactInterval = 10 * time.Minute
+	// leaveRounds is the number of gossip rounds that pass on the last news.
+	leaveRounds = 3
 	// exchangeTimeout bounds one reconciliation.
 	exchangeTimeout = 5 * time.Second
 )
@@ -37,6 +39,8 @@
 	peer      *peer.Client
 	// changed is given the targets of the subscribed services.
 	changed func([]fleet.Target)
+	// colleague is called when another daemon of the own service has changed.
+	colleague func()
 
 	mu         sync.Mutex
 	subscribed map[fleet.Service]bool
@@ -54,7 +58,7 @@
 	}
 	self := own
 	self.State = fleet.Cold
-	m.list = member.New(self, member.WithOnChange(func(member.Change) { m.refresh() }))
+	m.list = member.New(self, member.WithOnChange(m.onChange))
 	m.transport = gossip.New(conn, m.list,
 		gossip.WithExchange(m.exchange),
 		gossip.WithOnConfig(heard))
@@ -62,6 +66,13 @@
 	return m
 }
 
+func (m *members) onChange(c member.Change) {
+	m.refresh()
+	if c.Member.Service == m.own.Service && m.colleague != nil {
+		m.colleague()
+	}
+}
+
 // refresh passes the targets of the subscribed services on.
 func (m *members) refresh() {
 	m.mu.Lock()
@@ -99,6 +110,13 @@
 	m.refresh()
 }
 
+// leave announces that the own daemon is about to end, and waits until the news
+// has been passed on.
+func (m *members) leave() {
+	m.setState(fleet.Leaving)
+	time.Sleep(leaveRounds * member.GossipInterval)
+}
+
 // setKeySlots announces the leases that the own daemon holds.
 func (m *members) setKeySlots(grants []lease.Grant) {
 	slots := make([]member.KeySlot, 0, len(grants))
@@ -114,6 +132,9 @@
 	var owner fleet.Target
 	var highest uint64
 	for _, r := range m.list.Members(service) {
+		if r.State == fleet.Leaving {
+			continue
+		}
 		if token, ok := r.KeyOwned(string(name)); ok && token > highest {
 			owner, highest = r.Target, token
 		}
@@ -172,7 +193,7 @@
 			return err
 		}
 		m.log.Info("member: joined.", "members", m.list.Size())
-		return nil
+		return m.joiner.Rejoin(ctx)
 	})
 	group.Go(func() error { return m.publishContact(ctx) })
 	return group.Wait()
