--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -27,6 +27,7 @@
 	server  *http.Server
 	address string
 	stop    func()
+	stopped chan struct{}
 	done    errgroup.Group
 }
 
@@ -57,8 +58,9 @@
 	for _, m := range f.members {
 		m.start(t)
 	}
-	f.waitKnown(t)
+	t.Cleanup(func() { f.stopAll(t) })
 	t.Cleanup(f.client.CloseIdleConnections)
+	f.waitKnown(t)
 	return f
 }
 
@@ -88,7 +90,7 @@
 		PeerAddress:   "127.0.0.1:0",
 		Target:        settings.Target{Address: m.address, Service: service, Slots: 4, HealthPath: "/health"},
 		Policy:        &set,
-		Drain:         1200,
+		Drain:         600,
 		Stop:          5000,
 	}, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
 	is.NoErr(err)
@@ -98,13 +100,23 @@
 func (m *member) start(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
-	m.done.Go(func() error { return m.Run(ctx) })
-	t.Cleanup(func() {
-		m.Settings.Drain = 0
+	m.stopped = make(chan struct{})
+	m.done.Go(func() error {
+		defer close(m.stopped)
+		return m.Run(ctx)
+	})
+}
+
+// stopAll stops all daemons at the same time.
+func (f *testFleet) stopAll(t *testing.T) {
+	for _, m := range f.members {
 		m.stop()
+	}
+	for _, m := range f.members {
+		<-m.stopped
 		_ = m.server.Close()
 		is.New(t).NoErr(m.done.Wait())
-	})
+	}
 }
 
 // waitKnown waits until each daemon knows the incarnations of all.
