io/peer: send one-message requests as a server stream

Cause: a bidirectional stream costs a goroutine, a pipe and four writes to the connection per request, also when the request is one message. Ruled out: a unary call, since an answer of unknown size must be streamed. Change: requests whose body fits into the first message use the new method Call, which connect sends in the calling goroutine as one body.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -37,7 +37,7 @@
 	client  *http.Client
 }
 
-func loadJSON(t *testing.T, name string, v any) {
+func loadJSON(t testing.TB, name string, v any) {
 	t.Helper()
 	data, err := os.ReadFile("testdata/" + name)
 	is.New(t).NoErr(err)
@@ -46,7 +46,7 @@
 
 // startFleet starts a daemon for each of the services, and stops all at the end
 // of the test.
-func startFleet(t *testing.T, services ...fleet.Service) *testFleet {
+func startFleet(t testing.TB, services ...fleet.Service) *testFleet {
 	t.Helper()
 	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	for i, service := range services {
@@ -73,7 +73,7 @@
 	}
 }
 
-func newMember(t *testing.T, service fleet.Service, name string) *member {
+func newMember(t testing.TB, service fleet.Service, name string) *member {
 	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -97,7 +97,7 @@
 	return m
 }
 
-func (m *member) start(t *testing.T) {
+func (m *member) start(t testing.TB) {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	m.stopped = make(chan struct{})
@@ -108,7 +108,7 @@
 }
 
 // stopAll stops all daemons at the same time.
-func (f *testFleet) stopAll(t *testing.T) {
+func (f *testFleet) stopAll(t testing.TB) {
 	for _, m := range f.members {
 		m.stop()
 	}
@@ -120,7 +120,7 @@
 }
 
 // waitKnown waits until each daemon knows the incarnations of all.
-func (f *testFleet) waitKnown(t *testing.T) {
+func (f *testFleet) waitKnown(t testing.TB) {
 	t.Helper()
 	eventually(t, 3*time.Second, func() bool {
 		for _, m := range f.members {
@@ -134,7 +134,7 @@
 	})
 }
 
-func eventually(t *testing.T, within time.Duration, f func() bool) {
+func eventually(t testing.TB, within time.Duration, f func() bool) {
 	t.Helper()
 	until := time.Now().Add(within)
 	for !f() {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -122,20 +122,17 @@
 		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, err.Error())
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	remote := c.remote(target.PeerAddress)
-	client := remote.attempts
-	if !whole {
-		client = remote.bulk
+	s := &exchange{tag: tag(ref.ID), ctx: ctx, cancel: cancel, now: c.now}
+	first := &peerpb.InvokeRequest{Head: packRef(ref, c.now(), r), Body: head, End: whole, AttemptTag: s.tag}
+	if whole {
+		err = s.call(c.remote(target.PeerAddress).attempts, first)
+	} else {
+		err = s.invoke(c.remote(target.PeerAddress).bulk, first)
 	}
-	s := &exchange{
-		stream: client.Invoke(ctx),
-		tag:    tag(ref.ID),
-		ctx:    ctx,
-		cancel: cancel,
-		now:    c.now,
+	var answer *call.Answer
+	if err == nil {
+		answer, err = s.start(first, r)
 	}
-	first := &peerpb.InvokeRequest{Head: packRef(ref, c.now(), r), Body: head, End: whole, AttemptTag: s.tag}
-	answer, err := s.start(first, r)
 	if err != nil {
 		err = describe(ctx, err)
 		s.close()
@@ -191,6 +188,8 @@
 
 // exchange is the sending side of one attempt.
 type exchange struct {
+	// next receives a message. The stream is nil for a request of one message.
+	next   func() (*peerpb.InvokeResponse, error)
 	stream *connect.BidiStreamForClient[peerpb.InvokeRequest, peerpb.InvokeResponse]
 	tag    uint64
 	ctx    context.Context
@@ -201,16 +200,36 @@
 	sent bool
 }
 
-// start sends the first message and waits for the head of the answer.
-func (s *exchange) start(first *peerpb.InvokeRequest, r *call.Request) (*call.Answer, error) {
-	if err := s.stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
-		return nil, err
+// call sends a request of one message.
+func (s *exchange) call(client peerpbconnect.PeerClient, only *peerpb.InvokeRequest) error {
+	stream, err := client.Call(s.ctx, connect.NewRequest(only))
+	if err != nil {
+		return err
 	}
-	if first.GetEnd() {
-		if err := s.stream.CloseRequest(); err != nil {
+	s.next = func() (*peerpb.InvokeResponse, error) {
+		if stream.Receive() {
+			return stream.Msg(), nil
+		}
+		if err := stream.Err(); err != nil {
 			return nil, err
 		}
+		return nil, io.EOF
 	}
+	return nil
+}
+
+// invoke sends the first message of a longer request.
+func (s *exchange) invoke(client peerpbconnect.PeerClient, first *peerpb.InvokeRequest) error {
+	s.stream = client.Invoke(s.ctx)
+	s.next = s.stream.Receive
+	if err := s.stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil // the error behind io.EOF is received
+}
+
+// start waits for the head of the answer.
+func (s *exchange) start(first *peerpb.InvokeRequest, r *call.Request) (*call.Answer, error) {
 	for {
 		m, err := s.receive()
 		if err != nil {
@@ -225,7 +244,7 @@
 
 // receive returns the next message of this attempt.
 func (s *exchange) receive() (*peerpb.InvokeResponse, error) {
-	m, err := s.stream.Receive()
+	m, err := s.next()
 	if err != nil {
 		return nil, err
 	}
@@ -237,7 +256,7 @@
 
 // proceed starts to send the rest of the request body.
 func (s *exchange) proceed(m *peerpb.InvokeResponse, r *call.Request) {
-	if !m.GetProceed() || s.sent {
+	if !m.GetProceed() || s.sent || s.stream == nil {
 		return
 	}
 	s.sent = true
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -35,6 +35,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// PeerCallProcedure is the fully-qualified name of the Peer's Call RPC.
+	PeerCallProcedure = "/pollenscale.peer.v1.Peer/Call"
 	// PeerInvokeProcedure is the fully-qualified name of the Peer's Invoke RPC.
 	PeerInvokeProcedure = "/pollenscale.peer.v1.Peer/Invoke"
 	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
@@ -51,7 +53,9 @@
 
 // PeerClient is a client for the pollenscale.peer.v1.Peer service.
 type PeerClient interface {
-	// Invoke carries one attempt to the daemon beside the chosen target.
+	// Call carries one attempt, whose request body fits into the first message, to the daemon beside the chosen target.
+	Call(context.Context, *connect.Request[peerpb.InvokeRequest]) (*connect.ServerStreamForClient[peerpb.InvokeResponse], error)
+	// Invoke carries one attempt with a larger request body.
 	Invoke(context.Context) *connect.BidiStreamForClient[peerpb.InvokeRequest, peerpb.InvokeResponse]
 	// Settle asks for a binding answer about an attempt.
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
@@ -76,6 +80,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
 	return &peerClient{
+		call: connect.NewClient[peerpb.InvokeRequest, peerpb.InvokeResponse](
+			httpClient,
+			baseURL+PeerCallProcedure,
+			connect.WithSchema(peerMethods.ByName("Call")),
+			connect.WithClientOptions(opts...),
+		),
 		invoke: connect.NewClient[peerpb.InvokeRequest, peerpb.InvokeResponse](
 			httpClient,
 			baseURL+PeerInvokeProcedure,
@@ -117,6 +127,7 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
+	call            *connect.Client[peerpb.InvokeRequest, peerpb.InvokeResponse]
 	invoke          *connect.Client[peerpb.InvokeRequest, peerpb.InvokeResponse]
 	settle          *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
 	probe           *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
@@ -125,6 +136,11 @@
 	reportCrash     *connect.Client[peerpb.ReportCrashRequest, peerpb.ReportCrashResponse]
 }
 
+// Call calls pollenscale.peer.v1.Peer.Call.
+func (c *peerClient) Call(ctx context.Context, req *connect.Request[peerpb.InvokeRequest]) (*connect.ServerStreamForClient[peerpb.InvokeResponse], error) {
+	return c.call.CallServerStream(ctx, req)
+}
+
 // Invoke calls pollenscale.peer.v1.Peer.Invoke.
 func (c *peerClient) Invoke(ctx context.Context) *connect.BidiStreamForClient[peerpb.InvokeRequest, peerpb.InvokeResponse] {
 	return c.invoke.CallBidiStream(ctx)
@@ -157,7 +173,9 @@
 
 // PeerHandler is an implementation of the pollenscale.peer.v1.Peer service.
 type PeerHandler interface {
-	// Invoke carries one attempt to the daemon beside the chosen target.
+	// Call carries one attempt, whose request body fits into the first message, to the daemon beside the chosen target.
+	Call(context.Context, *connect.Request[peerpb.InvokeRequest], *connect.ServerStream[peerpb.InvokeResponse]) error
+	// Invoke carries one attempt with a larger request body.
 	Invoke(context.Context, *connect.BidiStream[peerpb.InvokeRequest, peerpb.InvokeResponse]) error
 	// Settle asks for a binding answer about an attempt.
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
@@ -178,6 +196,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerHandler(svc PeerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
+	peerCallHandler := connect.NewServerStreamHandler(
+		PeerCallProcedure,
+		svc.Call,
+		connect.WithSchema(peerMethods.ByName("Call")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerInvokeHandler := connect.NewBidiStreamHandler(
 		PeerInvokeProcedure,
 		svc.Invoke,
@@ -216,6 +240,8 @@
 	)
 	return "/pollenscale.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case PeerCallProcedure:
+			peerCallHandler.ServeHTTP(w, r)
 		case PeerInvokeProcedure:
 			peerInvokeHandler.ServeHTTP(w, r)
 		case PeerSettleProcedure:
@@ -237,6 +263,10 @@
 // UnimplementedPeerHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerHandler struct{}
 
+func (UnimplementedPeerHandler) Call(context.Context, *connect.Request[peerpb.InvokeRequest], *connect.ServerStream[peerpb.InvokeResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("pollenscale.peer.v1.Peer.Call is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Invoke(context.Context, *connect.BidiStream[peerpb.InvokeRequest, peerpb.InvokeResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pollenscale.peer.v1.Peer.Invoke is not implemented"))
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -72,16 +72,31 @@
 // handler implements the generated service.
 type handler struct{ s *Server }
 
+// Call carries one attempt whose request is a single message.
+func (h handler) Call(ctx context.Context, r *connect.Request[peerpb.InvokeRequest], stream *connect.ServerStream[peerpb.InvokeResponse]) error {
+	if !r.Msg.GetEnd() {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("the message is not the last of the request"))
+	}
+	x := &incoming{reply: stream.Send}
+	return h.invoke(ctx, x, r.Msg)
+}
+
 // Invoke carries one attempt.
 func (h handler) Invoke(ctx context.Context, stream *connect.BidiStream[peerpb.InvokeRequest, peerpb.InvokeResponse]) error {
 	first, err := stream.Receive()
 	if err != nil {
 		return err
 	}
+	x := &incoming{reply: stream.Send, next: stream.Receive}
+	return h.invoke(ctx, x, first)
+}
+
+func (h handler) invoke(ctx context.Context, x *incoming, first *peerpb.InvokeRequest) error {
 	if first.GetHead().GetAttempt() == nil {
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first message has no attempt"))
 	}
-	x := newIncoming(stream, first)
+	x.id = first.GetHead().GetAttempt()
+	x.tag = tag(unpackID(x.id))
 	defer x.end()
 	r := unpackRequest(first.GetHead(), time.Now())
 	r.Body = x.body(first, r.ContentLength)
@@ -135,9 +150,10 @@
 
 // incoming is the receiving side of one attempt.
 type incoming struct {
-	stream *connect.BidiStream[peerpb.InvokeRequest, peerpb.InvokeResponse]
-	id     *peerpb.AttemptID
-	tag    uint64
+	reply func(*peerpb.InvokeResponse) error
+	next  func() (*peerpb.InvokeRequest, error)
+	id    *peerpb.AttemptID
+	tag   uint64
 
 	// mu guards sending, which is done by the reader of the request body and
 	// by the handler. The reader may outlive the handler.
@@ -145,11 +161,6 @@
 	answered bool
 }
 
-func newIncoming(stream *connect.BidiStream[peerpb.InvokeRequest, peerpb.InvokeResponse], first *peerpb.InvokeRequest) *incoming {
-	id := first.GetHead().GetAttempt()
-	return &incoming{stream: stream, id: id, tag: tag(unpackID(id))}
-}
-
 // body returns the body that starts with the first message.
 func (x *incoming) body(first *peerpb.InvokeRequest, length int64) *call.Body {
 	if first.GetEnd() {
@@ -217,7 +228,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.answered = x.answered || m.GetHead() != nil
-	return x.stream.Send(m)
+	return x.reply(m)
 }
 
 // end prevents sending after the handler has returned.
@@ -234,7 +245,7 @@
 	if x.answered {
 		return call.ErrCutOff
 	}
-	return x.stream.Send(&peerpb.InvokeResponse{AttemptTag: x.tag, Proceed: true})
+	return x.reply(&peerpb.InvokeResponse{AttemptTag: x.tag, Proceed: true})
 }
 
 // requestBody reads the frames of a request body.
@@ -266,7 +277,7 @@
 		}
 		b.proceeded = true
 	}
-	m, err := b.incoming.stream.Receive()
+	m, err := b.incoming.next()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF // the last message did not arrive
 	}
