--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -62,7 +62,7 @@
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithCompression("gzip", nil, nil)))
 	s.http = &http.Server{
-		Handler:           gated(mux),
+		Handler:           mux,
 		Protocols:         protocols(),
 		HTTP2:             serverConfig(),
 		ReadHeaderTimeout: headerTimeout,
@@ -77,12 +77,7 @@
 	if !r.Msg.GetEnd() {
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("the message is not the last of the request"))
 	}
-	x := &incoming{reply: func(m *peerpb.InvokeResponse) error {
-		if m.GetEnd() {
-			holdFlush(ctx)
-		}
-		return stream.Send(m)
-	}}
+	x := &incoming{reply: stream.Send}
 	return h.invoke(ctx, x, r.Msg)
 }
 
