--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -89,6 +89,8 @@
 	outcome string
 	took    time.Duration
 	err     error
+	// closing is set when the entry asks the caller to leave.
+	closing bool
 }
 
 func (f *testFleet) send(ctx context.Context, entry int, method, id string, header ...string) reply {
@@ -108,7 +110,7 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return reply{response.StatusCode, response.Header.Get("Pollenscale-Outcome"), time.Since(start), err}
+	return reply{response.StatusCode, response.Header.Get("Pollenscale-Outcome"), time.Since(start), err, response.Close}
 }
 
 // load sends requests until stop is closed, and checks that all are answered.
@@ -234,6 +236,36 @@
 	wait()
 }
 
+// TestEntryStops guards against requests that are cut by the planned stop of
+// their entry. Callers leave when an answer closes their connection.
+func TestEntryStops(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, "desk", "desk", "agenda")
+	var group errgroup.Group
+	var moved atomic.Int64
+	until := time.Now().Add(2 * time.Second)
+	for worker := range 8 {
+		group.Go(func() error {
+			for n, entry := 0, 0; time.Now().Before(until); n++ {
+				id := fmt.Sprintf("%d-%d", worker, n)
+				r := f.send(t.Context(), entry, "POST", id, "Standin-Service-Time", "5ms")
+				if r.err != nil || r.status != http.StatusOK || len(f.ran(id)) != 1 {
+					return fmt.Errorf("%s at %d: %+v", id, entry, r)
+				}
+				if r.closing {
+					entry = 1
+					moved.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.members[0].stop()
+	is.NoErr(group.Wait())
+	is.Equal(moved.Load(), int64(8))
+}
+
 // TestCancel guards against work that goes on at the target after its caller
 // has gone.
 func TestCancel(t *testing.T) {
