--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,126 @@
+package dispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"pollenscale/core/attempt"
+	"pollenscale/core/call"
+	"pollenscale/core/dispatch"
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+	"pollenscale/core/policy"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// sent is the scripted end of one attempt. An empty outcome is an answer.
+type sent struct {
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	// Settled is the binding answer, empty when none can be had.
+	Settled outcome.Outcome
+	// ReadsBody is set when the attempt consumed the body beyond its start.
+	ReadsBody bool
+}
+
+type dispatchCase struct {
+	Name, Method, Key string
+	// Owner is Own, Other, or empty when no owner can be reached.
+	Owner       string
+	Sent        []sent
+	WantOutcome outcome.Outcome // Run for an answer
+	WantReason  outcome.Reason
+	WantClaims  int
+}
+
+// TestDo guards against a second attempt without a binding 'not run', and
+// against telling a caller 'not run' of a request that may have run. All
+// scripted attempts must be made, and no others.
+func TestDo(t *testing.T) {
+	data, err := os.ReadFile("testdata/cases.json")
+	is.New(t).NoErr(err)
+	var cases []dispatchCase
+	is.New(t).NoErr(json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, c.run)
+	}
+}
+
+func (c dispatchCase) run(t *testing.T) {
+	is := is.New(t)
+	made, claims := 0, 0
+	d := c.dispatcher(&made, &claims)
+	body := strings.Repeat("x", 2*call.ReplayBytes)
+	answer, err := d.Do(t.Context(), &call.Request{
+		Service: "agenda", Method: c.Method, Path: "/", URI: "/", Key: c.Key,
+		ContentLength: int64(len(body)), Body: call.NewBody(strings.NewReader(body), int64(len(body))),
+	})
+	is.Equal(made, len(c.Sent)) // number of attempts
+	is.Equal(claims, c.WantClaims)
+	is.Equal(outcome.Of(err), c.WantOutcome)
+	if err == nil {
+		is.NoErr(answer.Body.Close())
+		return
+	}
+	var e *outcome.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Reason, c.WantReason)
+}
+
+func (c dispatchCase) dispatcher(made, claims *int) *dispatch.Dispatcher {
+	service := &policy.Service{
+		Name:        "agenda",
+		Ranks:       []policy.Rank{{Name: "lookup", Timeout: 1000}},
+		DefaultRank: "lookup",
+		Routes:      []policy.Route{{Method: "GET", Idempotent: true}, {Method: "PUT", KeyRule: policy.KeyStamped}},
+	}
+	d := &dispatch.Dispatcher{
+		Policy: func() *policy.Set { return &policy.Set{Services: map[fleet.Service]*policy.Service{"agenda": service}} },
+		Opener: &attempt.Opener{Daemon: "e", Incarnation: 1},
+		Choose: func(_ context.Context, c dispatch.Choice) (fleet.Target, error) {
+			return fleet.Target{Daemon: fleet.DaemonID(fmt.Sprint(len(c.Tried)))}, nil
+		},
+		Send: func(_ context.Context, _ fleet.Target, _ attempt.Ref, r *call.Request) (*call.Answer, error) {
+			*made++
+			if *made > len(c.Sent) {
+				return nil, outcome.New(outcome.NotRun, outcome.NoTarget, "attempt not in the script")
+			}
+			return c.Sent[*made-1].end(r)
+		},
+		Settle: func(context.Context, fleet.Target, attempt.Ref) (attempt.Settlement, error) {
+			if o := c.Sent[*made-1].Settled; o != "" {
+				return attempt.Settlement{Outcome: o}, nil
+			}
+			return attempt.Settlement{}, errors.New("no connection")
+		},
+		Claim: func(context.Context, *policy.Service, *call.Request) (*dispatch.Claim, error) {
+			*claims++
+			return &dispatch.Claim{Finish: func(dispatch.Finished) {}}, nil
+		},
+	}
+	if c.Owner != "" {
+		d.Owner = func(context.Context, *policy.Service, *call.Request) (fleet.Target, bool, error) {
+			return fleet.Target{Daemon: "owner"}, c.Owner == "Own", nil
+		}
+	}
+	return d
+}
+
+func (s sent) end(r *call.Request) (*call.Answer, error) {
+	if s.ReadsBody {
+		if _, err := r.Body.Rest().Read(make([]byte, 1)); err != nil {
+			return nil, err
+		}
+	}
+	if s.Outcome != "" {
+		return nil, outcome.New(s.Outcome, s.Reason, "scripted")
+	}
+	return &call.Answer{Outcome: outcome.Run, Status: 200, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
