--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -236,6 +238,57 @@
 	wait()
 }
 
+// TestRollingRestarts guards against requests that are cut or run twice while
+// the daemons of a service restart one after the other.
+func TestRollingRestarts(t *testing.T) {
+	f := startFleet(t, "desk", "agenda", "agenda")
+	stop := make(chan struct{})
+	_, wait := f.load(t, stop, "POST")
+	for n := range restarts() {
+		time.Sleep(600 * time.Millisecond) // the entry learns of the last restart
+		f.restart(t, f.members[1+n%2], false)
+	}
+	close(stop)
+	wait()
+}
+
+// restarts returns the number of rolling restarts, from the environment for
+// long runs.
+func restarts() int {
+	if n, err := strconv.Atoi(os.Getenv("RESTARTS")); err == nil {
+		return n
+	}
+	return 2
+}
+
+// TestDaemonDies guards against requests that run twice, or that ran although
+// their caller was told 'not run', when a daemon is killed and comes back.
+func TestDaemonDies(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, "desk", "agenda", "agenda")
+	var group errgroup.Group
+	var stop atomic.Bool
+	for worker := range 8 {
+		group.Go(func() error {
+			for n := 0; !stop.Load(); n++ {
+				id := fmt.Sprintf("%d-%d", worker, n)
+				r := f.send(t.Context(), 0, "POST", id, "Standin-Service-Time", "10ms")
+				ran := len(f.ran(id))
+				if r.err != nil || ran > 1 || r.outcome == "NotRun" && ran != 0 || r.status == http.StatusOK && ran != 1 {
+					return fmt.Errorf("%s: ran %d times: %+v", id, ran, r)
+				}
+			}
+			return nil
+		})
+	}
+	for n := range restarts() {
+		time.Sleep(200 * time.Millisecond)
+		f.restart(t, f.members[1+n%2], true)
+	}
+	stop.Store(true)
+	is.NoErr(group.Wait())
+}
+
 // TestEntryStops guards against requests that are cut by the planned stop of
 // their entry. Callers leave when an answer closes their connection.
 func TestEntryStops(t *testing.T) {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -82,19 +82,41 @@
 	m.server = &http.Server{Handler: m.target}
 	m.target.Crash = func() { _ = m.server.Close() }
 	m.done.Go(func() error { _ = m.server.Serve(l); return nil })
+	m.build(t, fleet.DaemonID(name), service, "127.0.0.1:0", "127.0.0.1:0")
+	return m
+}
+
+// build makes the daemon of m.
+func (m *member) build(t testing.TB, id fleet.DaemonID, service fleet.Service, callers, peers string) {
+	t.Helper()
 	var set policy.Set
 	loadJSON(t, "policy.json", &set)
+	var err error
 	m.Daemon, err = New(&settings.Settings{
-		Daemon:        fleet.DaemonID(name),
-		CallerAddress: "127.0.0.1:0",
-		PeerAddress:   "127.0.0.1:0",
+		Daemon:        id,
+		CallerAddress: callers,
+		PeerAddress:   peers,
 		Target:        settings.Target{Address: m.address, Service: service, Slots: 4, HealthPath: "/health"},
 		Policy:        &set,
 		Drain:         600,
 		Stop:          5000,
 	}, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
-	is.NoErr(err)
-	return m
+	is.New(t).NoErr(err)
+}
+
+// restart replaces the daemon of m by a new process on the same ports, which
+// knows the others. A daemon that is killed closes its connections at once.
+func (f *testFleet) restart(t testing.TB, m *member, kill bool) {
+	t.Helper()
+	if kill {
+		_ = m.PeerSide.Close()
+		_ = m.Caller.Close()
+	}
+	m.stop()
+	<-m.stopped
+	m.build(t, m.Own.Daemon, m.Own.Service, m.CallerAddress(), m.Own.PeerAddress)
+	f.introduce(m)
+	m.start(t)
 }
 
 func (m *member) start(t testing.TB) {
