--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -24,8 +24,6 @@
 	// settleTimeout bounds the wait for a binding answer. A connection that
 	// went silent is found and replaced within 1.5 s.
 	settleTimeout = 1600 * time.Millisecond
-	// defaultAttempts applies to services that set no Retry.MaxAttempts.
-	defaultAttempts = 3
 	// crashAttempts bounds the attempts of a request after a target crashed
 	// under it, so that one request cannot crash more than two targets.
 	crashAttempts = 2
@@ -196,18 +194,25 @@
 	if e.Outcome != outcome.NotRun && !r.Idempotent {
 		return false
 	}
-	if !passing[e.Reason] || failed.Number >= maxAttempts(service) {
+	if !passing[e.Reason] {
 		return false
 	}
 	if e.Reason == outcome.TargetCrashed && failed.Number >= crashAttempts {
 		return false
 	}
-	if d.MayRetry != nil && !d.MayRetry(service, r, failed) {
+	if !d.mayRetry(service, r, failed) {
 		return false
 	}
 	return r.Body.Again()
 }
 
+func (d *Dispatcher) mayRetry(service *policy.Service, r *call.Request, failed retry.Attempt) bool {
+	if d.MayRetry == nil {
+		return failed.Number+failed.Redirects < service.Retry.Attempts()
+	}
+	return d.MayRetry(service, r, failed)
+}
+
 // passing are the reasons for failures after which another target may succeed.
 var passing = map[outcome.Reason]bool{
 	outcome.CannotFinish:   true,
@@ -219,13 +224,6 @@
 	outcome.StaleAttempt:   true,
 }
 
-func maxAttempts(service *policy.Service) int {
-	if service.Retry.MaxAttempts > 0 {
-		return service.Retry.MaxAttempts
-	}
-	return defaultAttempts
-}
-
 // try makes one attempt and settles it when it got no answer.
 func (d *Dispatcher) try(ctx context.Context, target fleet.Target, r *call.Request) (*call.Answer, error) {
 	open := d.Opener.Open(target)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -67,12 +67,23 @@
 type Retry struct {
 	// Share is the number of retries allowed for each first attempt.
 	Share Share
-	// MaxAttempts bounds the attempts of one request.
+	// MaxAttempts bounds the attempts of one request; 0 means 3.
 	MaxAttempts int
 	// HedgeShare is the number of hedged requests allowed for each first attempt.
 	HedgeShare Share
 }
 
+// defaultAttempts applies to services that set no MaxAttempts.
+const defaultAttempts = 3
+
+// Attempts returns the most attempts of one request.
+func (r Retry) Attempts() int {
+	if r.MaxAttempts > 0 {
+		return r.MaxAttempts
+	}
+	return defaultAttempts
+}
+
 // Service is the policy of one service.
 type Service struct {
 	Name fleet.Service
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -94,7 +94,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.Number >= max(1, b.policy.MaxAttempts) || b.tokens < 1 {
+	if a.Number >= b.policy.Attempts() || b.tokens < 1 {
 		return false
 	}
 	b.tokens--
@@ -127,8 +127,8 @@
 	return true
 }
 
-// redirect reports whether a daemon gave the reason before the request reached
-// its target, while another target may still take it.
+// redirect reports whether a request that did not run for this reason cost its
+// target nothing, while another target may still take it.
 func redirect(r outcome.Reason) bool {
-	return r == outcome.Overloaded || r == outcome.Draining || r == outcome.StaleAttempt || r == outcome.CannotFinish
+	return r == outcome.ConnectionLost || r == outcome.Overloaded || r == outcome.Draining || r == outcome.StaleAttempt || r == outcome.CannotFinish
 }
--- a/internal/daemon/balance.go
+++ b/internal/daemon/balance.go
@@ -27,20 +27,39 @@
 type balance struct {
 	chooser *choice.Chooser
 	queue   *admit.Queue
+	limit   *limit.Limit
 
 	mu      sync.Mutex
 	budgets map[fleet.Service]*retry.Budget
 	policy  *policy.Set
+	// state is the last state of the target.
+	state fleet.State
 }
 
 func newBalance(own fleet.Target, service *policy.Service) *balance {
 	if service == nil {
 		service = &policy.Service{Name: own.Service}
 	}
+	// A target that is cold says so; until then its daemon may have been
+	// restarted beside a target at full speed.
+	l := limit.Warm(own.Slots)
 	return &balance{
 		chooser: choice.New(own.Place),
-		queue:   admit.New(service, limit.New(own.Slots)),
+		limit:   l,
+		queue:   admit.New(service, l),
 		budgets: map[fleet.Service]*retry.Budget{},
+		state:   fleet.Cold,
+	}
+}
+
+// setState warms the target up when it is cold or was started again.
+func (b *balance) setState(state fleet.State) {
+	b.mu.Lock()
+	before := b.state
+	b.state = state
+	b.mu.Unlock()
+	if state.TakesWork() && (state == fleet.Cold || before == fleet.Leaving) {
+		b.limit.Cool()
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,6 +153,7 @@
 	d.buildServers()
 	d.State.Changed = func(state fleet.State) {
 		d.Log.Info("target: state changed.", "state", state)
+		d.balance.setState(state)
 		d.members.setState(state)
 	}
 }
@@ -178,8 +179,7 @@
 	d.Attempts = &attempt.Table{Own: d.Own.Incarnation}
 	d.balance = newBalance(d.Own, d.config.current().Service(d.Own.Service))
 	d.config.holder.OnChange = func(set *policy.Set) { d.balance.setPolicy(set, d.Own.Service) }
-	d.members.changed = d.balance.chooser.SetTargets
-	d.members.refresh()
+	d.members.setChanged(d.balance.chooser.SetTargets)
 	d.crashes = newCrashes(d.Log, d.Own)
 	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
 	d.crashes.report = d.reportCrash
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -28,17 +28,18 @@
 	server  *http.Server
 	address string
 	stop    func()
-	done    errgroup.Group
 	stopped chan struct{}
+	done    errgroup.Group
 }
 
 // testFleet is some daemons that know each other.
 type testFleet struct {
-	nodes  []*node
-	client *http.Client
+	nodes   []*node
+	client  *http.Client
+	options []Option
 }
 
-func loadJSON(t *testing.T, name string, v any) {
+func loadJSON(t testing.TB, name string, v any) {
 	t.Helper()
 	data, err := os.ReadFile("testdata/" + name)
 	is.New(t).NoErr(err)
@@ -47,21 +48,21 @@
 
 // startFleet starts a daemon for each of the services, and stops all at the end
 // of the test.
-func startFleet(t *testing.T, services ...fleet.Service) *testFleet {
+func startFleet(t testing.TB, services ...fleet.Service) *testFleet {
 	t.Helper()
 	return startStoreFleet(t, nil, services...)
 }
 
 // startStoreFleet starts daemons that share a store.
-func startStoreFleet(t *testing.T, s *memstore.Store, services ...fleet.Service) *testFleet {
+func startStoreFleet(t testing.TB, s *memstore.Store, services ...fleet.Service) *testFleet {
 	t.Helper()
-	options := []Option{WithLog(slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	f.options = []Option{WithLog(slog.New(slog.NewTextHandler(io.Discard, nil)))}
 	if s != nil {
-		options = append(options, WithStore(s.Tables(), s.Objects()))
+		f.options = append(f.options, WithStore(s.Tables(), s.Objects()))
 	}
-	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	for i, service := range services {
-		f.nodes = append(f.nodes, newNode(t, service, string(rune('a'+i)), options...))
+		f.nodes = append(f.nodes, newNode(t, service, string(rune('a'+i)), f.options...))
 	}
 	for _, m := range f.nodes {
 		f.introduce(m)
@@ -69,8 +70,9 @@
 	for _, m := range f.nodes {
 		m.start(t)
 	}
-	f.waitKnown(t)
+	t.Cleanup(func() { f.stopAll(t) })
 	t.Cleanup(f.client.CloseIdleConnections)
+	f.waitKnown(t)
 	return f
 }
 
@@ -83,7 +85,7 @@
 	}
 }
 
-func newNode(t *testing.T, service fleet.Service, name string, options ...Option) *node {
+func newNode(t testing.TB, service fleet.Service, name string, options ...Option) *node {
 	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,22 +94,44 @@
 	m.server = &http.Server{Handler: m.target}
 	m.target.Crash = func() { _ = m.server.Close() }
 	m.done.Go(func() error { _ = m.server.Serve(l); return nil })
+	m.build(t, fleet.DaemonID(name), service, "127.0.0.1:0", "127.0.0.1:0", options...)
+	return m
+}
+
+// build makes the daemon of m.
+func (m *node) build(t testing.TB, id fleet.DaemonID, service fleet.Service, callers, peers string, options ...Option) {
+	t.Helper()
 	var set policy.Set
 	loadJSON(t, "policy.json", &set)
+	var err error
 	m.Daemon, err = New(&settings.Settings{
-		Daemon:        fleet.DaemonID(name),
-		CallerAddress: "127.0.0.1:0",
-		PeerAddress:   "127.0.0.1:0",
+		Daemon:        id,
+		CallerAddress: callers,
+		PeerAddress:   peers,
 		Target:        settings.Target{Address: m.address, Service: service, Slots: 4, HealthPath: "/health"},
 		Policy:        &set,
-		Drain:         1200,
+		Drain:         600,
 		Stop:          5000,
 	}, options...)
-	is.NoErr(err)
-	return m
+	is.New(t).NoErr(err)
+}
+
+// restart replaces the daemon of m by a new process on the same ports, which
+// knows the others. A daemon that is killed closes its connections at once.
+func (f *testFleet) restart(t testing.TB, m *node, kill bool) {
+	t.Helper()
+	if kill {
+		_ = m.PeerSide.Close()
+		_ = m.Caller.Close()
+	}
+	m.stop()
+	<-m.stopped
+	m.build(t, m.Own.Daemon, m.Own.Service, m.CallerAddress(), m.Own.PeerAddress, f.options...)
+	f.introduce(m)
+	m.start(t)
 }
 
-func (m *node) start(t *testing.T) {
+func (m *node) start(t testing.TB) {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	m.stopped = make(chan struct{})
@@ -115,35 +139,31 @@
 		defer close(m.stopped)
 		return m.Run(ctx)
 	})
-	t.Cleanup(func() {
-		m.Settings.Drain = 0
+}
+
+// stopAll stops all daemons at the same time.
+func (f *testFleet) stopAll(t testing.TB) {
+	for _, m := range f.nodes {
 		m.stop()
+	}
+	for _, m := range f.nodes {
+		<-m.stopped
 		_ = m.server.Close()
 		is.New(t).NoErr(m.done.Wait())
-	})
+	}
 }
 
 // waitKnown waits until each daemon knows that all targets take work.
-func (f *testFleet) waitKnown(t *testing.T) {
+func (f *testFleet) waitKnown(t testing.TB) {
 	t.Helper()
 	for _, m := range f.nodes {
 		for _, other := range f.nodes {
 			m.Daemon.members.need(other.Own.Service)
 		}
 	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			f.dump(t)
-		}
-	})
 	eventually(t, 3*time.Second, func() bool {
 		for _, m := range f.nodes {
-			for _, r := range m.Daemon.members.list.All() {
-				if !r.State.TakesWork() || r.Slots == 0 {
-					return false
-				}
-			}
-			if m.Daemon.members.list.Size() != len(f.nodes) {
+			if !m.knows(len(f.nodes)) {
 				return false
 			}
 		}
@@ -151,15 +171,17 @@
 	})
 }
 
-func (f *testFleet) dump(t *testing.T) {
-	for _, m := range f.nodes {
-		for _, r := range m.Daemon.members.list.All() {
-			t.Logf("%s knows %s: %s %s slots %d inc %d rev %d joined %v", m.Own.Daemon, r.Daemon, r.State, r.Health, r.Slots, r.Incarnation, r.Revision, m.Daemon.members.list.Joined())
+// knows reports whether the daemon knows that all of n targets take work.
+func (m *node) knows(n int) bool {
+	for _, r := range m.Daemon.members.list.All() {
+		if !r.State.TakesWork() || r.Slots == 0 {
+			return false
 		}
 	}
+	return m.Daemon.members.list.Size() == n
 }
 
-func eventually(t *testing.T, within time.Duration, f func() bool) {
+func eventually(t testing.TB, within time.Duration, f func() bool) {
 	t.Helper()
 	until := time.Now().Add(within)
 	for !f() {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -88,6 +88,14 @@
 	m.changed(targets)
 }
 
+// setChanged sets the function that is given the targets, and calls it.
+func (m *members) setChanged(f func([]fleet.Target)) {
+	m.mu.Lock()
+	m.changed = f
+	m.mu.Unlock()
+	m.refresh()
+}
+
 // need subscribes to a service when a first request for it arrives.
 func (m *members) need(service fleet.Service) {
 	m.mu.Lock()
