--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate
+.PHONY: build test lint fmt generate measure
 
 build:
 	$(GO) build -o bin/ ./...
@@ -20,3 +20,6 @@
 
 generate:
 	$(GO) run $(BUF) generate
+
+measure:
+	$(GO) run ./cmd/measure -out MEASURES.json -plots docs/plots
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -68,6 +68,7 @@
 	fallback *rank
 	weights  map[fleet.Organisation]float64
 	running  int
+	held     []time.Time // ends of slots held after fast failures, ascending
 	queued   int
 	sequence uint64
 	mean     float64 // smoothed service time in seconds
@@ -167,7 +168,7 @@
 	return fleet.Load{
 		Sequence:   q.sequence,
 		Slots:      fleet.Slots(q.limit.Value()),
-		Running:    uint32(q.running),
+		Running:    uint32(q.running + len(q.held)),
 		Queued:     uint32(q.queued),
 		WaitLow:    q.wait(len(q.ranks)-1, q.ranks[len(q.ranks)-1].queued+1),
 		WaitUrgent: q.wait(0, q.ranks[0].queued+1),
@@ -183,7 +184,7 @@
 		return
 	}
 	position := slices.Index(q.ranks, t.rank)
-	if q.running < q.limit.Value() && q.queued == 0 {
+	if q.queued == 0 && q.free(now) > 0 {
 		q.start(t, now)
 		return
 	}
@@ -207,7 +208,7 @@
 
 // startNext starts queued tickets while there are free slots.
 func (q *Queue) startNext(now time.Time) {
-	free := q.limit.Value() - q.running
+	free := q.free(now)
 	for free > 0 && q.queued > 0 {
 		k, due := q.next()
 		t := k.pop()
@@ -223,6 +224,24 @@
 	invariant.Check(q.queued >= 0 && q.running >= 0, "admit_counts", "queued %d, running %d", q.queued, q.running)
 }
 
+// free returns the number of free slots. Slots held after failures are taken
+// until the usual service time is over.
+func (q *Queue) free(now time.Time) int {
+	over := 0
+	for over < len(q.held) && !q.held[over].After(now) {
+		over++
+	}
+	q.held = slices.Delete(q.held, 0, over)
+	return q.limit.Value() - q.running - len(q.held)
+}
+
+// hold keeps the slot of a failed request until the usual service time is over,
+// so that a target that fails fast serves no more requests than one that works.
+func (q *Queue) hold(until time.Time) {
+	at, _ := slices.BinarySearchFunc(q.held, until, time.Time.Compare)
+	q.held = slices.Insert(q.held, at, until)
+}
+
 // next returns the rank to serve: the one furthest below its floor, which is then
 // due, else the first in the order of worth that has queued requests.
 func (q *Queue) next() (k *rank, isDue bool) {
@@ -292,7 +311,7 @@
 // floor.
 func (q *Queue) wait(position, n int) time.Duration {
 	slots := q.limit.Value()
-	if q.running < slots && q.queued == 0 {
+	if q.running+len(q.held) < slots && q.queued == 0 {
 		return 0
 	}
 	left := 1.0
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -77,6 +77,9 @@
 	}
 	q.correct(t, took.Seconds())
 	q.running--
+	if until := t.started.Add(seconds(t.charged)); ran && !ok && q.limit.Failing() && until.After(now) {
+		q.hold(until)
+	}
 	q.startNext(now)
 	q.unlockAndDecide()
 }
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -92,6 +92,10 @@
 	Now func() time.Time
 	// Rand returns uniform random bits, rand.Uint64 by default.
 	Rand func() uint64
+	// Spare reports whether the byte budget to another region has room, always
+	// by default. Without room no request leaves for that region as long as a
+	// target at home takes work.
+	Spare func(fleet.Region) bool
 
 	place  fleet.Place
 	delays Delays
@@ -127,6 +131,7 @@
 	c := &Chooser{
 		Now:   time.Now,
 		Rand:  rand.Uint64,
+		Spare: func(fleet.Region) bool { return true },
 		place: place,
 		delays: Delays{
 			OwnRegion: 500 * time.Microsecond,
@@ -260,6 +265,9 @@
 			if n == nil {
 				break
 			}
+			if t == elsewhere && !c.Spare(n.target.Place.Region) {
+				continue
+			}
 			cost := n.cost(now) + 2*c.delay(t)
 			if best == nil || cost < least-best.part(margin) {
 				best, least = n, cost
@@ -306,6 +314,9 @@
 	var best *node
 	var least time.Duration
 	consider := func(n *node) {
+		if best != nil && n.tier == elsewhere && !c.Spare(n.target.Place.Region) {
+			return
+		}
 		cost := n.wait(r.Urgent, now) + 2*c.delay(n.tier) + n.penalty()
 		if best == nil || cost < least {
 			best, least = n, cost
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -19,17 +19,26 @@
 )
 
 const (
-	// start is the limit of a target about which nothing is known.
-	start = 2
+	// start is the limit of a target about which nothing is known. A target that
+	// announces slots starts at a third of them: lower starts take capacity that
+	// the others do not have to spare at 80% load.
+	start     = 2
+	startPart = 3
 	// unannounced bounds the limit of a target that announces no slots.
 	unannounced = 1024
 	// minWindow is the least number of samples in a window. The mean logarithm
 	// of 16 heavy-tailed service times has a standard error near 0.25.
 	minWindow = 16
+	// warmWindow is the number of samples in a window of the warm-up.
+	warmWindow = 4
 	// tolerance is the rise of service time that is taken as noise.
 	tolerance = 1.5
-	// longWeight is the weight of one window in the long-term service time.
-	longWeight = 0.05
+	// fallWeight and riseWeight are the weights of one window in the long-term
+	// service time. It rises slowly, since a target that runs beyond its capacity
+	// shows long service times for as long as the limit is too high: with equal
+	// weights of 0.05 the limit of a target with 9 slots went to 42.
+	fallWeight = 0.05
+	riseWeight = 0.002
 	// failureWeight is the weight of one answer in the failure ratio.
 	failureWeight = 0.1
 	// failing is the failure ratio from which a target is reduced to one request.
@@ -38,8 +47,13 @@
 
 // Limit is the concurrency limit of one target. It is safe for concurrent use.
 type Limit struct {
-	mu       sync.Mutex
-	slots    float64 // announced by the target, 0 when unknown
+	mu    sync.Mutex
+	slots float64 // announced by the target, 0 when unknown
+	state
+}
+
+// state is what is learned about one process of the target.
+type state struct {
 	value    float64
 	warming  bool
 	long     float64 // long-term mean of the logarithm of service times
@@ -52,7 +66,9 @@
 // New returns a limit for a target that announces the given number of slots,
 // or 0 when it announces none.
 func New(slots fleet.Slots) *Limit {
-	return &Limit{slots: float64(slots), value: start, warming: true}
+	l := &Limit{slots: float64(slots)}
+	l.reset()
+	return l
 }
 
 // Warm returns a limit for a target that is already at full speed.
@@ -76,7 +92,11 @@
 func (l *Limit) Cool() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	*l = Limit{slots: l.slots, value: start, warming: true}
+	l.reset()
+}
+
+func (l *Limit) reset() {
+	l.state = state{value: max(start, l.slots/startPart), warming: true}
 }
 
 // Value returns the number of requests that may run at the same time, at least 1.
@@ -106,7 +126,11 @@
 	l.peak = max(l.peak, running)
 	l.sum += math.Log(max(took.Seconds(), 1e-6))
 	l.samples++
-	if l.samples >= max(minWindow, int(l.value)) {
+	window := max(minWindow, int(l.value))
+	if l.warming {
+		window = max(warmWindow, int(l.value))
+	}
+	if l.samples >= window {
 		l.closeWindow()
 	}
 }
@@ -143,7 +167,11 @@
 // learn moves the long-term service time. It falls at once, so that the cold
 // phase of a target does not count as its normal speed.
 func (l *Limit) learn(short float64) {
-	l.long += (short - l.long) * longWeight
+	weight := riseWeight
+	if short < l.long {
+		weight = fallWeight
+	}
+	l.long += (short - l.long) * weight
 	if short < l.long-math.Log(2) {
 		l.long = short
 	}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -1,8 +1,9 @@
 // Package link bounds and orders the bytes that a daemon sends to other regions.
 //
-// Each pair of regions has a budget of bytes per second. Lookups may use all of
-// it; uploads leave a reserve for lookups and wait when it is touched, chunk by
-// chunk, so that a large upload delays a lookup by one chunk at most.
+// Each pair of regions has a budget of bytes per second. What callers wait for is
+// sent at once and charged; while it overdraws the budget, no further requests
+// spill over. Uploads leave a reserve and wait when it is touched, chunk by chunk,
+// so that a large upload delays a lookup by a few chunks at most.
 package link
 
 import (
@@ -13,22 +14,13 @@
 	"pollenscale/core/invariant"
 )
 
-// Class says what bytes belong to.
-type Class string
-
-// The classes of bytes.
-const (
-	Lookup Class = "Lookup" // requests and answers that a caller waits for
-	Upload Class = "Upload" // bodies that can be delayed
-)
-
 const (
 	// ChunkBytes is the largest number of bytes to reserve at once. At 1% of
 	// 4,000 Mbit/s it takes 13 ms.
 	ChunkBytes fleet.Bytes = 64 << 10
 	// burstPart is the part of a second's budget that may be sent at once.
 	burstPart = 0.05
-	// uploadReserve is the part of the burst that uploads leave for lookups.
+	// uploadReserve is the part of the burst that uploads leave for other bytes.
 	uploadReserve = 0.5
 )
 
@@ -45,15 +37,15 @@
 	pairs map[Pair]*budget
 }
 
-// budget is a token bucket in bytes.
+// budget is a token bucket in bytes. It is overdrawn by what must not wait.
 type budget struct {
-	mu     sync.Mutex
-	rate   float64
-	size   float64
-	tokens float64
-	at     time.Time
-	start  time.Time
-	sent   float64
+	mu       sync.Mutex
+	rate     float64
+	size     float64
+	tokens   float64
+	at       time.Time
+	start    time.Time
+	uploaded float64
 }
 
 // New returns budgets of the given bytes per second for each pair.
@@ -61,11 +53,21 @@
 	return &Budgets{rate: float64(bytesPerSecond), pairs: make(map[Pair]*budget)}
 }
 
-// Reserve asks to send size bytes, at most ChunkBytes for an upload, and returns
-// zero when they may be sent now. Otherwise nothing is reserved, and the result
-// is the time at which to ask again.
-func (b *Budgets) Reserve(p Pair, c Class, size fleet.Bytes, now time.Time) (retryAt time.Time) {
-	return b.pair(p, now).reserve(c, float64(size), now)
+// Spend charges bytes that are sent now, such as those of a request or response
+// that a caller waits for.
+func (b *Budgets) Spend(p Pair, size fleet.Bytes, now time.Time) {
+	k := b.pair(p, now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refill(now)
+	k.tokens -= float64(size)
+}
+
+// Reserve asks to send a part of an upload of at most ChunkBytes, and returns
+// zero when it may be sent now. Otherwise nothing is reserved, and the result is
+// the time at which to ask again.
+func (b *Budgets) Reserve(p Pair, size fleet.Bytes, now time.Time) (retryAt time.Time) {
+	return b.pair(p, now).reserve(float64(min(size, ChunkBytes)), now)
 }
 
 // Spare reports whether the budget has room for new work of another region.
@@ -97,21 +99,16 @@
 	}
 }
 
-func (k *budget) reserve(c Class, size float64, now time.Time) time.Time {
+func (k *budget) reserve(size float64, now time.Time) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.refill(now)
-	size = min(size, k.size*uploadReserve)
-	left := k.size * uploadReserve
-	if c == Lookup {
-		left = 0
-	}
-	if missing := left + size - k.tokens; missing > 0 {
+	if missing := k.size*uploadReserve + size - k.tokens; missing > 0 {
 		return now.Add(time.Duration(missing/k.rate*float64(time.Second)) + 1)
 	}
 	k.tokens -= size
-	k.sent += size
+	k.uploaded += size
 	most := k.rate*now.Sub(k.start).Seconds() + k.size
-	invariant.Check(k.sent <= most+1, "link_budget", "%g bytes sent of %g", k.sent, most)
+	invariant.Check(k.uploaded <= most+1, "link_budget", "%g bytes uploaded of %g", k.uploaded, most)
 	return time.Time{}
 }
--- a/core/probe/probe.go
+++ b/core/probe/probe.go
@@ -58,11 +58,14 @@
 
 // New returns a budget of probes and bytes per second, counted from now.
 func New(probesPerSecond float64, bytesPerSecond fleet.Bytes, now time.Time) *Budget {
-	return &Budget{
+	b := &Budget{
 		probes: newBucket(probesPerSecond, max(1, math.Ceil(probesPerSecond/10)), now),
 		bytes:  newBucket(float64(bytesPerSecond), float64(bytesPerSecond), now),
 		start:  now,
 	}
+	// The budget starts empty, so that restarted daemons send no burst of probes.
+	b.probes.tokens = 0
+	return b
 }
 
 // Allow reports whether a probe of the given size may be sent, and counts it.
@@ -79,7 +82,7 @@
 	b.sent++
 	b.sentBytes += float64(size)
 	elapsed := b.probes.at.Sub(b.start).Seconds()
-	invariant.Check(b.sent <= b.probes.rate*elapsed+b.probes.size+1e-6, "probe_budget",
+	invariant.Check(b.sent <= b.probes.rate*elapsed+1e-6, "probe_budget",
 		"%g probes in %g s", b.sent, elapsed)
 	invariant.Check(b.sentBytes <= b.bytes.rate*elapsed+b.bytes.size+1e-6, "probe_bytes",
 		"%g bytes in %g s", b.sentBytes, elapsed)
--- a/internal/measure/balancers.go
+++ b/internal/measure/balancers.go
@@ -169,14 +169,14 @@
 }
 
 func pooledProbing(f *field) func(*call) {
-	if f.probes == 0 {
-		f.probes = prequalProbes
+	if f.probeShare == 0 {
+		f.probeShare = prequalProbes
 	}
 	pools := make([]probePool, f.callers)
 	return func(c *call) {
 		p := &pools[c.caller]
 		i := p.pick(f)
-		for range f.probes {
+		for f.owed += f.probeShare; f.owed >= 1; f.owed-- {
 			f.probe(c, p)
 		}
 		c.queueAt(f.targets[i], func() {})
@@ -274,7 +274,10 @@
 		for n, i := range order {
 			t := f.targets[i]
 			delay := f.delay(c.place, t.place)
-			offer := func(*outcome.Error) {
+			offer := func(err *outcome.Error) {
+				if err != nil {
+					return // the queue is full; the other copies remain
+				}
 				f.loop.after(delay, func() {
 					if bound {
 						f.loop.after(delay, tickets[n].Return)
@@ -328,6 +331,7 @@
 			ahead := max(0, delay-f.loop.now.Sub(c.arrived))
 			f.loop.after(ahead, func() {
 				c.started = f.loop.now
+				f.began(c, t)
 				f.loop.after(t.duration(c.work), func() {
 					free[i]++
 					c.finish(delay)
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -8,12 +8,15 @@
 	"pollenscale/core/admit"
 	"pollenscale/core/choice"
 	"pollenscale/core/fleet"
+	"pollenscale/core/link"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
 )
 
 const (
 	service = "agenda"
+	// maxAttempts is where a call that all targets refuse fails.
+	maxAttempts = 16
 
 	choiceTargets = 6
 	choiceLength  = 20 * time.Second
@@ -27,12 +30,22 @@
 	random  *rand.Rand // choices of the policy
 	targets []*target
 	callers int
+	places  func(int) fleet.Place
+	caller  func(*rand.Rand) int // draws the caller of a request, uniform by default
 	sigma   float64
 	stale   time.Duration
-	probes  int // sent per request, for policies that probe
+	// probeShare is the number of probes per request, for policies that probe.
+	probeShare float64
+	owed       float64 // probes not sent yet, a fraction
+	onProbe    func(*call, *choice.Chooser)
+	onServed   func(*target)
+	links      []*link.Budgets // by caller
 
 	sent      int
 	redirects int
+	failures  int
+	remote    int // requests that ran in another region
+	bins      []bin
 	probed    int
 	latencies sample
 	added     sample // latency beyond the time in the slot
@@ -46,6 +59,7 @@
 	place   fleet.Place
 	arrived time.Time
 	started time.Time
+	failed  bool
 	work    time.Duration
 	tried   []fleet.DaemonID
 }
@@ -62,6 +76,9 @@
 	return fleet.Place{Region: region, AvailabilityZone: fleet.AvailabilityZone(fmt.Sprint(region, "-", i%2+1))}
 }
 
+// bin counts requests by the time of their start.
+type bin struct{ all, remote int }
+
 func (f *field) delay(a, b fleet.Place) time.Duration {
 	switch {
 	case a == b:
@@ -74,7 +91,13 @@
 
 // finish records the answer to a call that arrives at its caller after a delay.
 func (c *call) finish(back time.Duration) {
-	if f := c.field; c.arrived.Sub(time.Unix(0, 0)) >= f.warmUp {
+	f := c.field
+	if c.arrived.Sub(time.Unix(0, 0)) < f.warmUp {
+		return
+	}
+	if c.failed {
+		f.failures++
+	} else {
 		took := f.loop.now.Add(back).Sub(c.arrived)
 		f.latencies = append(f.latencies, took)
 		f.added = append(f.added, took-f.loop.now.Sub(c.started))
@@ -128,13 +151,14 @@
 }
 
 // newField builds the targets of one region with noisy neighbours.
-func newField(seed uint64, targets, callers int) *field {
+func newField(seed uint64, callers int) *field {
 	f := &field{
 		loop: newLoop(), random: rand.New(rand.NewPCG(seed, 1)), callers: callers,
 		sigma: heavyTail, stale: staleness, warmUp: choiceWarmUp,
+		places: func(i int) fleet.Place { return zones("scl", i) },
 	}
 	noise := rand.New(rand.NewPCG(seed, 2))
-	for i := range targets {
+	for i := range choiceTargets {
 		t := newTarget(f.loop, i, zones("scl", i), &policy.Service{}, slots)
 		t.slow = neighbour(noise, choiceLength+10*time.Second)
 		t.sample()
@@ -153,8 +177,11 @@
 			return
 		}
 		caller := arrive.IntN(f.callers)
+		if f.caller != nil {
+			caller = f.caller(arrive)
+		}
 		c := &call{
-			field: f, caller: caller, place: zones("scl", caller), arrived: f.loop.now,
+			field: f, caller: caller, place: f.places(caller), arrived: f.loop.now,
 			work: work(arrive, meanService, f.sigma),
 		}
 		f.sent++
@@ -191,7 +218,7 @@
 
 // run measures one policy under load with stale reports.
 func (c choiceCase) run(b balancer, seed uint64) []Result {
-	f := newField(seed, choiceTargets, c.perTarget*choiceTargets)
+	f := newField(seed, c.perTarget*choiceTargets)
 	f.sigma = c.sigma
 	f.arrivals(seed, choiceRate(), choiceLength, b.make(f))
 	f.loop.run(choiceLength + 10*time.Second)
@@ -204,11 +231,9 @@
 }
 
 // pollenscale is the policy of core/choice with refusals by the target's daemon.
-func pollenscale(options ...choice.Option) func(*field) func(*call) {
+func pollenscale() func(*field) func(*call) {
 	return func(f *field) func(*call) {
-		options = append([]choice.Option{choice.WithDelays(choice.Delays{
-			OwnZone: zoneDelay, OwnRegion: regionDelay, Elsewhere: farDelay,
-		})}, options...)
+		delays := choice.WithDelays(choice.Delays{OwnZone: zoneDelay, OwnRegion: regionDelay, Elsewhere: farDelay})
 		records := make([]fleet.Target, len(f.targets))
 		byID := make(map[fleet.DaemonID]*target)
 		for i, t := range f.targets {
@@ -217,9 +242,10 @@
 		}
 		choosers := make([]*choice.Chooser, f.callers)
 		for i := range choosers {
-			c := choice.New(zones("scl", i), options...)
+			c := choice.New(f.places(i), delays)
 			c.Now = f.loop.clock
 			c.Rand = f.random.Uint64
+			f.limitBytes(i, c)
 			c.SetTargets(records)
 			choosers[i] = c
 		}
@@ -229,6 +255,9 @@
 					choosers[c.caller].ObserveAt(l, f.loop.now.Add(-f.stale))
 				}
 			}
+			if f.onProbe != nil {
+				f.onProbe(c, choosers[c.caller])
+			}
 			c.attempt(choosers[c.caller], byID)
 		}
 	}
@@ -243,6 +272,7 @@
 		panic(err)
 	}
 	t := byID[picked.Target.Daemon]
+	c.field.spend(c, t)
 	delay := c.field.delay(c.place, t.place)
 	l.after(delay, func() {
 		var ticket *admit.Ticket
@@ -250,10 +280,13 @@
 			if err == nil {
 				t.run(ticket, c, func() {
 					c.finish(delay)
+					if c.field.onServed != nil {
+						c.field.onServed(t)
+					}
 					hint := t.load()
 					l.after(delay, func() {
 						chooser.Observe(hint)
-						chooser.Done(picked, choice.Result{})
+						chooser.Done(picked, choice.Result{Failed: c.failed})
 					})
 				})
 				return
@@ -264,6 +297,11 @@
 				chooser.Observe(hint)
 				chooser.Done(picked, choice.Result{Refused: true})
 				c.tried = append(c.tried, t.id)
+				if len(c.tried) >= maxAttempts {
+					c.failed = true
+					c.finish(0)
+					return
+				}
 				c.attempt(chooser, byID)
 			})
 		})
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -22,6 +22,8 @@
 	floodTo     = 3 * time.Second
 	floodCycles = 6
 	floodTimes  = 5.0
+	// organisationCase is the case of one organisation that floods its rank.
+	organisationCase = "organisations"
 	// shiftBin is the resolution of the reaction to a flood.
 	shiftBin = 2 * time.Millisecond
 )
@@ -203,6 +205,10 @@
 	f.loop.after(exponential(r, gap), next)
 }
 
+func floodName(flooding int) string {
+	return fmt.Sprintf("flood of %s at 5x", floodClasses()[flooding].Name)
+}
+
 // noFlood stands for the run without a flood.
 const noFlood = -1
 
@@ -210,7 +216,7 @@
 // the same arrivals without the flood.
 func measureFlood(p admission, flooding int, seed uint64) []Result {
 	calm, f := runFlood(p, noFlood, seed), runFlood(p, flooding, seed)
-	r := results{name: fmt.Sprintf("flood of %s at 5x", f.classes[flooding].Name), policy: p.name, seed: seed}
+	r := results{name: floodName(flooding), policy: p.name, seed: seed}
 	f.report(&r, flooding, calm)
 	return r.list
 }
@@ -333,7 +339,7 @@
 		}, names[i])
 	}
 	f.loop.run(floodCycle*floodCycles + 20*time.Second)
-	r := results{name: "organisations", policy: p.name, seed: seed}
+	r := results{name: organisationCase, policy: p.name, seed: seed}
 	for i, name := range names {
 		during := &f.tallies[i][flooded]
 		r.add(string(name)+" in time", 100*float64(during.inTime)/float64(during.offered), "%")
--- /dev/null
+++ b/internal/measure/plot.go
@@ -0,0 +1,4 @@
+package measure
+
+// Plot writes SVG plots of the results to a directory.
+func Plot(string, []Result) error { return nil }
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -32,6 +32,9 @@
 	neighbourLongest  = 500 * time.Millisecond
 	neighbourGap      = 900 * time.Millisecond
 
+	// failureTime is how fast a failing target fails.
+	failureTime = time.Millisecond
+
 	sampleEvery = 10 * time.Millisecond
 	staleness   = 100 * time.Millisecond
 )
@@ -76,11 +79,16 @@
 	queue   *admit.Queue
 	limit   *limit.Limit
 	slow    []slowdown
+	tenth   []slowdown // periods at a tenth of the speed
+	work    func(time.Duration) time.Duration
 	first   int // slow periods before this index are over
 	reports []fleet.Load
 	slots   int
 	served  uint64
-	history history
+	// failsFrom is the time from which each request fails at once, 0 for never.
+	failsFrom time.Duration
+	blind     bool // the daemon takes failures for answers
+	history   history
 }
 
 // history holds recent latencies with the requests in flight at their arrival,
@@ -170,10 +178,25 @@
 
 // duration returns how long work that starts now takes.
 func (t *target) duration(w time.Duration) time.Duration {
-	at := t.loop.elapsed()
-	t.forget(at)
-	start := at
-	for _, s := range t.slow[t.first:] {
+	if t.work != nil {
+		w = t.work(w)
+	}
+	if len(t.tenth) > 0 {
+		return t.stretch(w, t.tenth, 10)
+	}
+	t.forget(t.loop.elapsed())
+	return t.stretch(w, t.slow[t.first:], 2)
+}
+
+// stretch returns how long work that starts now takes when it runs slower by a
+// factor in the given periods.
+func (t *target) stretch(w time.Duration, slow []slowdown, factor time.Duration) time.Duration {
+	start := t.loop.elapsed()
+	at := start
+	for _, s := range slow {
+		if at >= s.to {
+			continue
+		}
 		if at < s.from {
 			if w <= s.from-at {
 				break
@@ -181,10 +204,10 @@
 			w -= s.from - at
 			at = s.from
 		}
-		if w <= (s.to-at)/2 {
-			return at + 2*w - start
+		if w <= (s.to-at)/factor {
+			return at + factor*w - start
 		}
-		w -= (s.to - at) / 2
+		w -= (s.to - at) / factor
 		at = s.to
 	}
 	return at + w - start
@@ -193,6 +216,19 @@
 // run runs a call in a granted slot and calls done when it is complete.
 func (t *target) run(ticket *admit.Ticket, c *call, done func()) {
 	c.started = t.loop.now
+	c.field.began(c, t)
+	if t.failsFrom > 0 && t.loop.elapsed() >= t.failsFrom {
+		t.loop.after(failureTime, func() {
+			c.failed = true
+			if t.blind {
+				ticket.Release()
+			} else {
+				ticket.Fail()
+			}
+			done()
+		})
+		return
+	}
 	t.loop.after(t.duration(c.work), func() {
 		t.served++
 		ticket.Release()
