core/limit: let the long-term service time rise slowly

Cause: the long-term service time followed that of the saturated target within a second, so that the limit of a target with 9 slots that announces none went to 42 and requests queued inside the target without ranks.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -27,12 +27,12 @@
 	// unannounced bounds the limit of a target that announces no slots.
 	unannounced = 1024
 	// minWindow is the least number of samples in a window. The mean logarithm
-	// of 16 heavy-tailed service times has a standard error near 0.25.
-	minWindow = 16
+	// of 32 heavy-tailed service times has a standard error near 0.18.
+	minWindow = 32
 	// warmWindow is the number of samples in a window of the warm-up.
 	warmWindow = 4
 	// tolerance is the rise of service time that is taken as noise.
-	tolerance = 1.5
+	tolerance = 1.3
 	// fallWeight and riseWeight are the weights of one window in the long-term
 	// service time. It rises slowly, since a target that runs beyond its capacity
 	// shows long service times for as long as the limit is too high: with equal
@@ -59,6 +59,7 @@
 	long     float64 // long-term mean of the logarithm of service times
 	sum      float64 // logarithms of the current window
 	samples  int
+	windows  int
 	peak     int // highest concurrency in the current window
 	failures float64
 }
@@ -164,17 +165,15 @@
 	l.value = min(max(l.value, l.least()), l.most())
 }
 
-// learn moves the long-term service time. It falls at once, so that the cold
-// phase of a target does not count as its normal speed.
+// learn moves the long-term service time. The first windows count alike, since
+// those of the warm-up are short and noisy.
 func (l *Limit) learn(short float64) {
+	l.windows++
 	weight := riseWeight
 	if short < l.long {
 		weight = fallWeight
 	}
-	l.long += (short - l.long) * weight
-	if short < l.long-math.Log(2) {
-		l.long = short
-	}
+	l.long += (short - l.long) * max(weight, 1/float64(l.windows+1))
 }
 
 // least is the lower bound of the limit. A warm target keeps the slots that it
