--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -8,6 +8,10 @@
 	"pollenscale/core/fleet"
 )
 
+// keptFlows is the number of organisations that a rank remembers before it looks
+// for ones to forget.
+const keptFlows = 64
+
 // rank holds the queued requests of one rank, by organisation.
 type rank struct {
 	worth  float64
@@ -76,6 +80,7 @@
 func (k *rank) push(t *Ticket, weight float64) {
 	f := k.flows[t.request.Organisation]
 	if f == nil {
+		k.forget()
 		f = &flow{}
 		k.flows[t.request.Organisation] = f
 	}
@@ -93,6 +98,19 @@
 	k.queued++
 }
 
+// forget removes organisations without queued requests whose tag is in the past:
+// a new flow would get the same tag.
+func (k *rank) forget() {
+	if len(k.flows) < keptFlows+2*len(k.active) {
+		return
+	}
+	for o, f := range k.flows {
+		if len(f.tickets) == 0 && f.tag <= k.time {
+			delete(k.flows, o)
+		}
+	}
+}
+
 // before reports whether t has an earlier deadline than u.
 func (t *Ticket) before(u *Ticket) bool {
 	if t.request.Deadline.IsZero() {
--- a/core/choice/choice_test.go
+++ b/core/choice/choice_test.go
@@ -13,6 +13,7 @@
 	"pollenscale/core/outcome"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 func home() fleet.Place { return fleet.Place{Region: "scl", AvailabilityZone: "scl-1"} }
@@ -101,6 +102,31 @@
 	is.New(t).Equal(allocations, 0.0)
 }
 
+// TestConcurrent guards against data races between picks, reports and changes of
+// the targets; it needs the race detector.
+func TestConcurrent(t *testing.T) {
+	chooser := choice.New(home())
+	chooser.SetTargets(fleetOf(10))
+	var group errgroup.Group
+	for worker := range 4 {
+		group.Go(func() error {
+			for i := range 500 {
+				if i%50 == 0 {
+					chooser.SetTargets(fleetOf(10 + worker))
+				}
+				c, err := chooser.Pick(choice.Request{Service: "agenda"})
+				if err != nil {
+					return err
+				}
+				chooser.Observe(fleet.Load{Daemon: c.Target.Daemon, Sequence: uint64(i), Slots: 9})
+				chooser.Done(c, choice.Result{Failed: i%3 == 0})
+			}
+			return nil
+		})
+	}
+	is.New(t).NoErr(group.Wait())
+}
+
 func fleetOf(n int) []fleet.Target {
 	var targets []fleet.Target
 	for i := range n {
