--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate prove mutants bench-path check-upload
+.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure
 
 SEED ?= 1
 RUNS ?= 200
@@ -39,3 +39,6 @@
 # Uploads 1 GB through two daemons and checks their memory.
 check-upload: build
 	scripts/path.sh scripts/upload.sh
+
+measure:
+	$(GO) run ./cmd/measure -out MEASURES.json -plots docs/plots
