--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -52,6 +52,8 @@
 type Traffic struct {
 	Sent, Received           int
 	SentBytes, ReceivedBytes int
+	// ConfigBytes is the part of ReceivedBytes that is configuration content.
+	ConfigBytes int
 }
 
 // Node is one simulated daemon.
@@ -66,6 +68,9 @@
 	// OnDatagram is told the configuration version of each datagram received.
 	OnDatagram func(n *Node, peerAddress string, d member.Datagram)
 
+	// Config is the configuration of the daemon; nil without WithConfig.
+	Config *Holder
+
 	generation int
 	inbox      []delivery
 }
@@ -92,6 +97,7 @@
 	now       time.Time
 	events    events
 	order     int
+	config    *ConfigStore
 	byAddress map[string]*Node
 }
 
@@ -225,6 +231,9 @@
 	for range s.Subscriptions {
 		n.List.Subscribe(s.Nodes[s.Random.IntN(len(s.Nodes))].Target.Service)
 	}
+	if s.config != nil {
+		s.attach(n)
+	}
 }
 
 // Kill stops a daemon without notice.
