--- a/core/member/join.go
+++ b/core/member/join.go
@@ -21,10 +21,12 @@
 	seedRetry     = 250 * time.Millisecond
 	seedRetryMost = 10 * time.Second
 	// storeAfter is the number of failed rounds over all seeds after which the
-	// store is asked. Random pauses of up to storeSpread precede each read, so
-	// that 3,400 daemons that lost all seeds make about 340 reads/s at most.
-	storeAfter  = 3
-	storeSpread = 10 * time.Second
+	// store is asked. A random pause of up to storeSpread precedes the read, so
+	// that 3,400 daemons that lost all seeds make about 170 reads/s at most. It
+	// doubles with each read up to storeSpreadMost.
+	storeAfter      = 3
+	storeSpread     = 20 * time.Second
+	storeSpreadMost = 10 * time.Minute
 )
 
 // SeedTable is the table that holds contact addresses, for daemons none of
@@ -61,18 +63,19 @@
 // nil when a peer answered. It tries until the context ends, since a fleet whose
 // first daemon this is has no peer to answer.
 func (j *Joiner) Join(ctx context.Context) error {
-	pause := seedRetry
+	pause, spread := seedRetry, storeSpread
 	for round := 1; ; round++ {
 		if j.joinBy(ctx, j.shuffledSeeds()) {
 			return nil
 		}
 		if round >= storeAfter && j.Tables.List != nil {
-			if err := j.sleep(ctx, j.jitter(storeSpread)); err != nil {
+			if err := j.sleep(ctx, j.jitter(spread)); err != nil {
 				return errors.CombineErrors(ErrNoPeer, err)
 			}
 			if j.joinBy(ctx, j.contacts(ctx)) {
 				return nil
 			}
+			spread = min(2*spread, storeSpreadMost)
 		}
 		if err := j.sleep(ctx, j.jitter(pause)+pause/2); err != nil {
 			return errors.CombineErrors(ErrNoPeer, err)
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -67,9 +67,10 @@
 	StoreReadsPerSecond = 5
 	// leastInterval bounds the rate of one daemon in a small fleet.
 	leastInterval = time.Second
-	// firstSpread spreads the first reads of daemons that know no member yet:
-	// 3,400 daemons make 340 reads/s.
-	firstSpread = 10 * time.Second
+	// firstSpread spreads the first reads of daemons that no peer has answered:
+	// 3,400 daemons make 170 reads/s. It doubles with each read up to mostSpread.
+	firstSpread = 20 * time.Second
+	mostSpread  = 10 * time.Minute
 	// fetchTimeout bounds one fetch from a peer or the store: 100 round trips
 	// between regions. After it another source is tried.
 	fetchTimeout = 2 * time.Second
@@ -111,7 +112,8 @@
 	Announce func(Head)
 	// Members returns the number of members, at least 1.
 	Members func() int
-	// Joined reports whether a peer has answered, so that Members is right.
+	// Joined reports whether a peer has answered, so that Members is right. It
+	// should also report true for a daemon that has no seeds.
 	Joined func() bool
 
 	// Jitter returns a random length below d; nil means a uniform one.
@@ -122,9 +124,13 @@
 	latest  Head
 	tellers []string
 	readAt  time.Time
-	retryAt time.Time
-	pause   time.Duration
-	counts  Counts
+	// alone is set while reads are placed for a daemon that no peer has answered;
+	// spreadOver is the time over which its next read is spread.
+	alone      bool
+	spreadOver time.Duration
+	retryAt    time.Time
+	pause      time.Duration
+	counts     Counts
 }
 
 // Counts are totals since the start, for metrics.
@@ -311,19 +317,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.readAt.IsZero() {
+	alone := !s.Joined()
+	if s.readAt.IsZero() || s.alone && !alone {
 		// A new daemon fetches from peers. Its first read is placed at random
 		// within the interval, so that a mass restart causes no burst.
-		s.readAt = now.Add(s.jitter(s.firstInterval()))
+		s.readAt = now.Add(s.jitter(s.spacing(alone)))
 	}
+	s.alone = alone
 	return !now.Before(s.readAt)
 }
 
-func (s *Spreader) firstInterval() time.Duration {
-	if !s.Joined() {
-		return firstSpread
+// spacing is the time over which the next read is spread.
+func (s *Spreader) spacing(alone bool) time.Duration {
+	if !alone {
+		return s.interval()
 	}
-	return s.interval()
+	s.spreadOver = min(max(2*s.spreadOver, firstSpread), mostSpread)
+	return s.spreadOver
 }
 
 func (s *Spreader) read(ctx context.Context) {
@@ -340,7 +350,7 @@
 		s.counts.StoreFailures++
 	}
 	// The interval counts from the call, which keeps the rate when the store is slow.
-	every := s.firstInterval()
+	every := s.spacing(s.alone)
 	s.readAt = s.now().Add(every/2 + s.jitter(every))
 }
 
