--- a/core/member/list.go
+++ b/core/member/list.go
@@ -105,6 +105,12 @@
 	return func(l *List) { l.OnChange = f }
 }
 
+// WithRandomProbes probes random members only, as plain SWIM does. Package
+// internal/slopes compares it with probes of ring neighbours.
+func WithRandomProbes() Option {
+	return func(l *List) { l.randomProbes = true }
+}
+
 // New returns a list that holds the own target only. The own service is
 // subscribed.
 func New(self fleet.Target, options ...Option) *List {
--- /dev/null
+++ b/core/member/list_test.go
@@ -0,0 +1,100 @@
+package member_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/member"
+	"pollenscale/internal/fleetsim"
+	"pollenscale/standin/memstore"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// TestSubscription guards against details that are held for services that are
+// not called, that are missing for those that are, and changes that are not
+// reported.
+func TestSubscription(t *testing.T) {
+	is := is.New(t)
+	var changes []member.Change
+	sim := fleetsim.New(48, 1, fleetsim.TwoYears(48))
+	sim.Subscriptions = 0
+	sim.Options = []member.Option{member.WithOnChange(func(c member.Change) { changes = append(changes, c) })}
+	sim.StartAll()
+	a, b := sim.Nodes[0], sim.Nodes[12]
+	is.True(a.Target.Service != b.Target.Service)
+	for _, r := range a.List.Members(b.Target.Service) {
+		is.True(!r.Detailed && r.Slots == 0) // short record of a service that is not called
+	}
+	a.List.Subscribe(b.Target.Service)
+	sim.Run(3 * time.Second)
+	members := a.List.Members(b.Target.Service)
+	is.Equal(len(members), 12)
+	for _, r := range members {
+		is.True(r.Detailed && r.Slots == 12) // details of a service that is called
+	}
+	changes = nil
+	b.List.SetKeySlots([]member.KeySlot{{Slot: "s/0", Token: 9}})
+	sim.Run(time.Second)
+	r, ok := a.List.Get(b.Target.Daemon)
+	token, owned := r.KeyOwned("s/0")
+	is.True(ok && owned && token == 9)
+	is.True(len(changes) > 0) // the change is reported
+	a.List.Unsubscribe(b.Target.Service)
+	r, _ = a.List.Get(b.Target.Daemon)
+	is.True(!r.Detailed) // details are dropped
+}
+
+// TestSuperseded guards against an older process that goes on beside a newer one
+// with the same daemon id.
+func TestSuperseded(t *testing.T) {
+	is := is.New(t)
+	l := member.New(fleet.Target{Daemon: "a", Incarnation: 5, Service: "s", State: fleet.Serving, GossipAddress: "a"})
+	news := func(i fleet.Incarnation) member.Datagram {
+		return member.Datagram{Kind: member.Gossip, From: "b", News: []member.Record{{
+			Target: fleet.Target{Daemon: "a", Incarnation: i, State: fleet.Serving, GossipAddress: "a"}, Revision: 1, Health: member.Alive,
+		}}}
+	}
+	l.Receive("b", news(4))
+	is.True(!l.Superseded())
+	l.Receive("b", news(6))
+	is.True(l.Superseded())
+}
+
+// TestJoinThroughStore guards against a daemon that stays alone because all
+// peers in its settings were replaced.
+func TestJoinThroughStore(t *testing.T) {
+	is := is.New(t)
+	sim := fleetsim.New(24, 1, fleetsim.TwoYears(24))
+	sim.StartAll()
+	s := memstore.New(memstore.WithNow(sim.Now))
+	for _, n := range sim.Nodes {
+		j := &member.Joiner{List: n.List, Tables: s.Tables()}
+		is.NoErr(j.PublishContact(t.Context()))
+		is.NoErr(j.PublishContact(t.Context())) // writes nothing the second time
+	}
+	is.Equal(s.Counts().RowsWritten, int64(24)) // at most 2 per zone
+	newcomer := sim.Nodes[5]
+	sim.Kill(newcomer)
+	sim.Run(3 * time.Second)
+	sim.Start(newcomer)
+	slept := time.Duration(0)
+	j := &member.Joiner{
+		List: newcomer.List, Seeds: []string{"10.99.0.1:7400"}, Tables: s.Tables(), Call: sim.Call(newcomer),
+		Sleep: func(_ context.Context, d time.Duration) error {
+			slept += d
+			if slept > time.Minute {
+				return errors.New("joining took too long")
+			}
+			return nil
+		},
+	}
+	is.NoErr(j.Join(t.Context()))
+	is.Equal(newcomer.List.Size(), 24)
+	sim.Run(5 * time.Second)
+	r, ok := sim.Nodes[0].List.Get(newcomer.Target.Daemon)
+	is.True(ok && r.Incarnation == newcomer.Target.Incarnation) // known to others
+}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -48,6 +48,8 @@
 	verifyAt    time.Time
 	refutations int
 	verdicts    int
+
+	randomProbes bool
 }
 
 // Receive takes in a datagram that arrived from an address.
@@ -427,7 +429,7 @@
 	}
 	l.step = (l.step + 1) % (Monitors + 1)
 	e := l.ring[l.random.IntN(len(l.ring))]
-	if l.step < Monitors {
+	if l.step < Monitors && !l.randomProbes {
 		e = l.successor(l.step)
 	}
 	if e.Health == Suspect && e.evidence {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -93,6 +93,8 @@
 	Extra func() time.Duration
 	// Subscriptions is the number of random services that each daemon calls.
 	Subscriptions int
+	// Options are passed to each list.
+	Options []member.Option
 
 	now       time.Time
 	events    events
@@ -227,7 +229,7 @@
 	n.Up = true
 	n.inbox = nil
 	n.Target.Incarnation = fleet.Incarnation(s.now.UnixNano())
-	n.List = member.New(n.Target, member.WithNow(s.Now), member.WithSeed(s.Random.Uint64()))
+	n.List = member.New(n.Target, append(s.Options, member.WithNow(s.Now), member.WithSeed(s.Random.Uint64()))...)
 	for range s.Subscriptions {
 		n.List.Subscribe(s.Nodes[s.Random.IntN(len(s.Nodes))].Target.Service)
 	}
@@ -387,3 +389,16 @@
 	to.Traffic.Received++
 	to.Traffic.ReceivedBytes += size + callOverhead
 }
+
+// FullList returns the list of one daemon that knows all others.
+func (s *Sim) FullList() *member.List {
+	var records []member.Record
+	for _, n := range s.Nodes {
+		r := member.Record{Target: n.Target, Revision: 1, DetailsRevision: 1, Health: member.Alive, Detailed: true}
+		r.Incarnation = fleet.Incarnation(s.now.UnixNano())
+		records = append(records, r)
+	}
+	list := member.New(s.Nodes[0].Target, member.WithNow(s.Now))
+	list.Merge(member.Request{}, member.Reply{Members: records})
+	return list
+}
--- /dev/null
+++ b/internal/slopes/gossip.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/member"
+	"pollenscale/core/spread"
+	"pollenscale/internal/fleetsim"
+)
+
+// Load of the size in two years.
+const (
+	changesPerDay = 9200
+	burst         = 50
+	memberEvents  = 228
+	secondsPerDay = 86400
+	documentBytes = 1500
+	kills         = 5
+)
+
+const (
+	roleGossip = "peer: gossip with suspicion, ring probes"
+	roleRandom = "peer: gossip with suspicion, random probes"
+)
+
+// measure takes all figures of one size and seed.
+func measure(r *results, n int, seed uint64) {
+	measureGossip(r, n, seed)
+	measureRandomProbes(r, n, seed)
+	measureAllToAll(r, n, seed)
+	measureStoreRows(r, n, seed)
+	measureTree(r, n, seed)
+}
+
+// usage is a reading of the cost counters of all daemons.
+type usage struct {
+	sent, received, messages, config int
+	cpu                              time.Duration
+}
+
+func read(s *fleetsim.Sim) usage {
+	var u usage
+	for _, n := range s.Nodes {
+		u.sent += n.Traffic.SentBytes
+		u.received += n.Traffic.ReceivedBytes
+		u.messages += n.Traffic.Sent + n.Traffic.Received
+		u.config += n.Traffic.ConfigBytes
+	}
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err == nil {
+		u.cpu = time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+	}
+	return u
+}
+
+// bytesOver returns the bytes per daemon, sent and received, since before.
+func bytesOver(s *fleetsim.Sim, before usage) float64 {
+	now := read(s)
+	return float64(now.sent+now.received-before.sent-before.received) / float64(len(s.Nodes))
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func measureGossip(r *results, n int, seed uint64) {
+	before := heap()
+	s := fleetsim.New(n, seed, fleetsim.TwoYears(n))
+	s.StartAll()
+	config := s.WithConfig()
+	s.Run(5 * time.Second)
+	r.add(roleGossip, "memory per daemon", n, float64(heap()-before)/float64(n)/1024, "KB")
+
+	idle := idleCost(r, s, n)
+	burstBytes := configBurst(r, s, config, idle)
+	detection(r, roleGossip, s)
+	eventBytes := restartCost(r, s, idle)
+	drain(r, s)
+	zoneLoss(r, s, idle)
+
+	daily := 2*idle + burstBytes*changesPerDay/burst/secondsPerDay + eventBytes*memberEvents/secondsPerDay
+	r.add(roleGossip, "bytes/s at the daily load, sent and received", n, daily, "B/s")
+}
+
+// idleCost returns the bytes per second that one daemon sends without events.
+func idleCost(r *results, s *fleetsim.Sim, n int) float64 {
+	const seconds = 10
+	a := read(s)
+	s.Run(seconds * time.Second)
+	b := read(s)
+	per := func(v int) float64 { return float64(v) / float64(n) / seconds }
+	r.add(roleGossip, "idle sent", n, per(b.sent-a.sent), "B/s")
+	r.add(roleGossip, "idle received", n, per(b.received-a.received), "B/s")
+	r.add(roleGossip, "idle messages", n, per(b.messages-a.messages), "1/s")
+	r.add(roleGossip, "idle CPU", n, 100*(b.cpu-a.cpu).Seconds()/float64(n)/seconds, "% of a core")
+	return per(b.sent - a.sent)
+}
+
+// configBurst publishes a burst and returns the bytes that it cost each daemon.
+func configBurst(r *results, s *fleetsim.Sim, c *fleetsim.ConfigStore, idle float64) float64 {
+	const seconds = 8
+	before := read(s)
+	published := s.Now()
+	c.Publish(burst, documentBytes)
+	s.Run(seconds * time.Second)
+	cost := bytesOver(s, before) - 2*idle*seconds
+	version := spread.Version(len(c.Changes))
+	var took []float64
+	for _, n := range s.Nodes {
+		if at, ok := n.Config.AppliedAt[version]; ok {
+			took = append(took, at.Sub(published).Seconds())
+		}
+	}
+	slices.Sort(took)
+	size := len(s.Nodes)
+	r.add(roleGossip, "configuration: daemons without the version after 8 s", size, float64(size-len(took)), "daemons")
+	if len(took) == 0 {
+		return cost
+	}
+	r.add(roleGossip, "configuration: first daemon reads it", size, took[0], "s")
+	r.add(roleGossip, "configuration: 99% have it", size, took[len(took)*99/100], "s")
+	r.add(roleGossip, "configuration: all have it", size, took[len(took)-1], "s")
+	r.add(roleGossip, "configuration: bytes of a burst of 50, sent and received", size, cost/1024, "KB")
+	most := 0
+	for _, n := range s.Nodes {
+		most = max(most, n.Traffic.SentBytes)
+	}
+	r.add(roleGossip, "configuration: most sent by one daemon since the start", size, float64(most)/1024, "KB")
+	return cost
+}
+
+// detection kills daemons one after the other.
+func detection(r *results, role string, s *fleetsim.Sim) {
+	for k := range kills {
+		victim := s.Nodes[(k*37+11)%len(s.Nodes)]
+		s.Kill(victim)
+		all := awaitAll(s, victim, 10*time.Second, func(rec member.Record, ok bool) bool {
+			return !ok || rec.Health == member.Unreachable
+		})
+		r.add(role, "detection: all know of a killed daemon", len(s.Nodes), all.Seconds(), "s")
+		s.Run(2 * time.Second)
+		s.Start(victim, s.Nodes[(victim.Index+1)%len(s.Nodes)])
+		s.Run(12 * time.Second)
+	}
+}
+
+// awaitAll runs until all other daemons see a state of the subject.
+func awaitAll(s *fleetsim.Sim, subject *fleetsim.Node, limit time.Duration, seen func(member.Record, bool) bool) time.Duration {
+	started := s.Now()
+	unaware := slices.Clone(s.Nodes)
+	for s.Now().Sub(started) < limit {
+		s.Run(10 * time.Millisecond)
+		unaware = slices.DeleteFunc(unaware, func(n *fleetsim.Node) bool {
+			return n == subject || !n.Up || seen(n.List.Get(subject.Target.Daemon))
+		})
+		if len(unaware) == 0 {
+			break
+		}
+	}
+	return s.Now().Sub(started)
+}
+
+// restartCost returns the bytes per daemon of one planned restart.
+func restartCost(r *results, s *fleetsim.Sim, idle float64) float64 {
+	const seconds = 12
+	before := read(s)
+	n := s.Nodes[3]
+	n.List.SetState(fleet.Leaving)
+	s.Run(2 * time.Second)
+	s.Kill(n)
+	s.Run(2 * time.Second)
+	s.Start(n, s.Nodes[4])
+	s.Run((seconds - 4) * time.Second)
+	cost := bytesOver(s, before) - 2*idle*seconds
+	r.add(roleGossip, "bytes of one restart, sent and received", len(s.Nodes), cost, "B")
+	return cost
+}
+
+func drain(r *results, s *fleetsim.Sim) {
+	for k := range 3 {
+		n := s.Nodes[(k*53+7)%len(s.Nodes)]
+		n.List.SetState(fleet.Draining)
+		all := awaitAll(s, n, 10*time.Second, func(rec member.Record, ok bool) bool {
+			return ok && rec.State == fleet.Draining
+		})
+		r.add(roleGossip, "drain: all know", len(s.Nodes), all.Seconds(), "s")
+		s.Run(2 * time.Second)
+	}
+}
+
+// zoneLoss kills one availability zone.
+func zoneLoss(r *results, s *fleetsim.Sim, idle float64) {
+	zone := s.Nodes[1].Target.Place.AvailabilityZone
+	var lost []*fleetsim.Node
+	for _, n := range s.Nodes {
+		if n.Target.Place.AvailabilityZone == zone {
+			s.Kill(n)
+			lost = append(lost, n)
+		}
+	}
+	started, before := s.Now(), read(s)
+	aware := func() bool {
+		for _, n := range s.Nodes {
+			if n.Up && n.List.Counts()[member.Unreachable] < len(lost) {
+				return false
+			}
+		}
+		return true
+	}
+	for !aware() && s.Now().Sub(started) < 30*time.Second {
+		s.Run(100 * time.Millisecond)
+	}
+	size := len(s.Nodes)
+	took := s.Now().Sub(started).Seconds()
+	r.add(roleGossip, "zone lost: all know of all", size, took, "s")
+	s.Run(10*time.Second - min(10*time.Second, s.Now().Sub(started)))
+	r.add(roleGossip, "zone lost: bytes in 10 s beyond idle, sent and received", size,
+		(bytesOver(s, before)-2*idle*max(10, took))/1024, "KB")
+}
+
+// measureRandomProbes measures detection with random instead of ring probes.
+func measureRandomProbes(r *results, n int, seed uint64) {
+	s := fleetsim.New(n, seed, fleetsim.TwoYears(n))
+	s.Options = []member.Option{member.WithRandomProbes()}
+	s.StartAll()
+	s.Run(5 * time.Second)
+	a := read(s)
+	s.Run(5 * time.Second)
+	r.add(roleRandom, "idle sent", n, float64(read(s).sent-a.sent)/float64(n)/5, "B/s")
+	detection(r, roleRandom, s)
+}
+
+// measureTail kills many daemons of one fleet, 6 s apart, and takes the tail of
+// the detection time.
+func measureTail(r *results, role string, seed uint64, options ...member.Option) {
+	const n, losses = 200, 60
+	s := fleetsim.New(n, seed, fleetsim.TwoYears(n))
+	s.Options = options
+	s.StartAll()
+	s.Run(5 * time.Second)
+	var took []float64
+	for _, i := range s.Random.Perm(n)[:losses] {
+		s.Run(4*time.Second + time.Duration(s.Random.Int64N(int64(time.Second))))
+		s.Kill(s.Nodes[i])
+		took = append(took, awaitAll(s, s.Nodes[i], 10*time.Second, func(rec member.Record, ok bool) bool {
+			return !ok || rec.Health == member.Unreachable
+		}).Seconds())
+	}
+	slices.Sort(took)
+	r.add(role, "detection of 60 kills: median", n, took[losses/2], "s")
+	r.add(role, "detection of 60 kills: slowest", n, took[losses-1], "s")
+}
+
+// measureTable measures the memory of one list at the size in two years.
+func measureTable(r *results) {
+	for _, n := range []int{400, 1600, 3400} {
+		before := heap()
+		s := fleetsim.New(n, 1, fleetsim.TwoYears(n))
+		list := s.FullList()
+		after := heap()
+		r.add("entry: member table", "memory of one whole table", n, float64(after-before)/1024, "KB")
+		runtime.KeepAlive(list)
+		runtime.KeepAlive(s)
+	}
+}
