--- a/internal/slopes/gossip.go
+++ b/internal/slopes/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"runtime"
 	"slices"
-	"syscall"
 	"time"
 
 	"pollenscale/core/fleet"
@@ -19,7 +18,7 @@
 	memberEvents  = 228
 	secondsPerDay = 86400
 	documentBytes = 1500
-	kills         = 5
+	kills         = 3
 )
 
 const (
@@ -50,10 +49,7 @@
 		u.messages += n.Traffic.Sent + n.Traffic.Received
 		u.config += n.Traffic.ConfigBytes
 	}
-	var ru syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err == nil {
-		u.cpu = time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
-	}
+	u.cpu = cpuTime()
 	return u
 }
 
@@ -83,6 +79,9 @@
 	detection(r, roleGossip, s)
 	eventBytes := restartCost(r, s, idle)
 	drain(r, s)
+	if n <= 400 {
+		split(r, s)
+	}
 	zoneLoss(r, s, idle)
 
 	daily := 2*idle + burstBytes*changesPerDay/burst/secondsPerDay + eventBytes*memberEvents/secondsPerDay
@@ -195,6 +194,31 @@
 	}
 }
 
+// split cuts a region off for 20 s and measures the healing.
+func split(r *results, s *fleetsim.Sim) {
+	inside := func(n *fleetsim.Node) bool { return n.Target.Place.Region == "region-2" }
+	s.Cut = func(a, b *fleetsim.Node) bool { return inside(a) != inside(b) }
+	before := read(s)
+	s.Run(20 * time.Second)
+	s.Cut = func(_, _ *fleetsim.Node) bool { return false }
+	healed := s.Now()
+	whole := func() bool {
+		for _, n := range s.Nodes {
+			if n.List.Counts()[member.Alive] < len(s.Nodes) {
+				return false
+			}
+		}
+		return true
+	}
+	for !whole() && s.Now().Sub(healed) < 120*time.Second {
+		s.Run(100 * time.Millisecond)
+	}
+	took := s.Now().Sub(healed).Seconds()
+	r.add(roleGossip, "region split for 20 s: all see all after healing", len(s.Nodes), took, "s")
+	r.add(roleGossip, "region split for 20 s: bytes/s until healed, sent and received", len(s.Nodes), bytesOver(s, before)/(20+took), "B/s")
+	s.Run(15 * time.Second)
+}
+
 // zoneLoss kills one availability zone.
 func zoneLoss(r *results, s *fleetsim.Sim, idle float64) {
 	zone := s.Nodes[1].Target.Place.AvailabilityZone
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -83,8 +83,8 @@
 		}
 		started := time.Now()
 		for seed := range seeds {
-			// Above 800 daemons one seed suffices for the time allowed.
-			if seed > 0 && n > 800 {
+			// Fewer seeds keep the large sizes within the time allowed.
+			if seed > 1 && n >= 400 || seed > 0 && n >= 800 {
 				break
 			}
 			measure(r, n, uint64(seed+1))
@@ -96,6 +96,11 @@
 		measureTail(r, roleRandom, uint64(seed+1), member.WithRandomProbes())
 	}
 	measureTable(r)
+	for _, n := range []int{50, 100, 200} {
+		if err := measureLoopback(r, n); err != nil {
+			return err
+		}
+	}
 	return write(output, r.rows())
 }
 
