--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -85,6 +86,12 @@
 // ErrOlder is returned for an update that does not lead past the version in force.
 var ErrOlder = errors.New("update is not newer than the version in force")
 
+// homeWait bounds the time that a daemon waits for a teller in its own region,
+// since links between regions are billed by volume. The time is homeWait times
+// the fourth root of a random share, so that few daemons of a region fetch over
+// the link and the others hear from them, within 0.5 s, before their time is up.
+const homeWait = 800 * time.Millisecond
+
 // errRefused is returned for an update that the owner of the configuration refused.
 var errRefused = errors.New("update refused")
 
@@ -116,6 +123,9 @@
 	// should also report true for a daemon that has no seeds.
 	Joined func() bool
 
+	// Near reports whether the daemon at a peer address is in the own region.
+	// Nil means that all are.
+	Near func(peerAddress string) bool
 	// Jitter returns a random length below d; nil means a uniform one.
 	Jitter func(d time.Duration) time.Duration
 
@@ -123,7 +133,10 @@
 	wake    chan struct{}
 	latest  Head
 	tellers []string
-	readAt  time.Time
+	// far are tellers in other regions, which are asked from farAt on.
+	far    []string
+	farAt  time.Time
+	readAt time.Time
 	// alone is set while reads are placed for a daemon that no peer has answered;
 	// spreadOver is the time over which its next read is spread.
 	alone      bool
@@ -192,12 +205,32 @@
 		s.retryAt = time.Time{}
 		s.pause = 0
 	}
-	if len(s.tellers) < maxTellers && !slices.Contains(s.tellers, peerAddress) {
-		s.tellers = append(s.tellers, peerAddress)
-	}
+	s.addTeller(peerAddress)
 	s.signal()
 }
 
+func (s *Spreader) addTeller(peerAddress string) {
+	if s.Near != nil && !s.Near(peerAddress) {
+		if s.farAt.IsZero() {
+			share := float64(s.jitter(homeWait)) / float64(homeWait)
+			s.farAt = s.now().Add(time.Duration(float64(homeWait) * math.Sqrt(math.Sqrt(share))))
+		}
+		s.far = appendTeller(s.far, peerAddress)
+		return
+	}
+	s.tellers = appendTeller(s.tellers, peerAddress)
+}
+
+// appendTeller adds a teller that is not yet known. The latest ones are kept,
+// since they are likely to have the latest version.
+func appendTeller(tellers []string, address string) []string {
+	if slices.Contains(tellers, address) {
+		return tellers
+	}
+	tellers = append(tellers, address)
+	return tellers[max(0, len(tellers)-maxTellers):]
+}
+
 // signal wakes Run. The caller holds the lock.
 func (s *Spreader) signal() {
 	if s.wake == nil {
@@ -250,14 +283,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.latest.Version <= current.Version {
-		s.tellers = nil
+		s.tellers, s.far, s.farAt = nil, nil, time.Time{}
 		return "", false
 	}
-	if len(s.tellers) == 0 || s.now().Before(s.retryAt) {
+	now := s.now()
+	if now.Before(s.retryAt) {
+		return "", false
+	}
+	queue := &s.tellers
+	if len(s.tellers) == 0 && !now.Before(s.farAt) {
+		queue = &s.far
+	}
+	if len(*queue) == 0 {
 		return "", false
 	}
-	address := s.tellers[0]
-	s.tellers = s.tellers[1:]
+	address := (*queue)[0]
+	*queue = (*queue)[1:]
 	return address, true
 }
 
@@ -365,5 +406,15 @@
 	if len(s.tellers) > 0 && s.retryAt.Before(next) {
 		next = s.retryAt
 	}
+	if len(s.far) > 0 && s.farAt.Before(next) {
+		next = later(s.farAt, s.retryAt)
+	}
 	return next
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -72,6 +72,7 @@
 						return spread.Update{}, errDown
 					},
 					Announce: func(head spread.Head) { h.announced = append(h.announced, head.Version) },
+					Near:     func(peer string) bool { return peer != "far" },
 					Members:  func() int { return 10 },
 					Joined:   func() bool { return true },
 				}
--- a/internal/fleetsim/config.go
+++ b/internal/fleetsim/config.go
@@ -97,7 +97,11 @@
 		ReadStore: s.config.read,
 		Announce:  func(head spread.Head) { list.SetConfig(uint64(head.Version), head.Digest) },
 		Members:   list.Size,
-		Joined:    list.Joined,
+		Near: func(address string) bool {
+			to := s.byAddress[address]
+			return s.AnyTeller || to == nil || to.Target.Place.Region == n.Target.Place.Region
+		},
+		Joined: list.Joined,
 	}
 	pending := false
 	// Only the step that was scheduled last runs.
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -54,6 +54,8 @@
 	SentBytes, ReceivedBytes int
 	// ConfigBytes is the part of ReceivedBytes that is configuration content.
 	ConfigBytes int
+	// RegionBytes is the part of SentBytes that leaves the region.
+	RegionBytes int
 }
 
 // Node is one simulated daemon.
@@ -93,6 +95,8 @@
 	Extra func() time.Duration
 	// Subscriptions is the number of random services that each daemon calls.
 	Subscriptions int
+	// AnyTeller lets daemons fetch configuration from any region at once.
+	AnyTeller bool
 	// Options are passed to each list.
 	Options []member.Option
 
@@ -300,6 +304,9 @@
 	n.Traffic.Sent++
 	n.Traffic.SentBytes += len(data) + udpOverhead
 	to := s.byAddress[e.To]
+	if to != nil && to.Target.Place.Region != n.Target.Place.Region {
+		n.Traffic.RegionBytes += len(data) + udpOverhead
+	}
 	if to == nil || s.Cut(n, to) || s.Loss > 0 && s.Random.Float64() < s.Loss {
 		return
 	}
@@ -386,6 +393,9 @@
 func (s *Sim) Account(from, to *Node, size int) {
 	from.Traffic.Sent++
 	from.Traffic.SentBytes += size + callOverhead
+	if from.Target.Place.Region != to.Target.Place.Region {
+		from.Traffic.RegionBytes += size + callOverhead
+	}
 	to.Traffic.Received++
 	to.Traffic.ReceivedBytes += size + callOverhead
 }
--- a/internal/slopes/gossip.go
+++ b/internal/slopes/gossip.go
@@ -23,6 +23,7 @@
 
 const (
 	roleGossip = "peer: gossip with suspicion, ring probes"
+	roleAny    = "peer: configuration fetched from any region"
 	roleRandom = "peer: gossip with suspicion, random probes"
 )
 
@@ -30,6 +31,7 @@
 func measure(r *results, n int, seed uint64) {
 	measureGossip(r, n, seed)
 	measureRandomProbes(r, n, seed)
+	measureAnyTeller(r, n, seed)
 	measureAllToAll(r, n, seed)
 	measureStoreRows(r, n, seed)
 	measureTree(r, n, seed)
@@ -37,8 +39,8 @@
 
 // usage is a reading of the cost counters of all daemons.
 type usage struct {
-	sent, received, messages, config int
-	cpu                              time.Duration
+	sent, received, messages, config, region int
+	cpu                                      time.Duration
 }
 
 func read(s *fleetsim.Sim) usage {
@@ -48,6 +50,7 @@
 		u.received += n.Traffic.ReceivedBytes
 		u.messages += n.Traffic.Sent + n.Traffic.Received
 		u.config += n.Traffic.ConfigBytes
+		u.region += n.Traffic.RegionBytes
 	}
 	u.cpu = cpuTime()
 	return u
@@ -74,8 +77,8 @@
 	s.Run(5 * time.Second)
 	r.add(roleGossip, "memory per daemon", n, float64(heap()-before)/float64(n)/1024, "KB")
 
-	idle := idleCost(r, s, n)
-	burstBytes := configBurst(r, s, config, idle)
+	idle, regionRate := idleCost(r, s, n)
+	burstBytes := configBurst(r, roleGossip, s, config, idle, regionRate)
 	detection(r, roleGossip, s)
 	eventBytes := restartCost(r, s, idle)
 	drain(r, s)
@@ -88,8 +91,9 @@
 	r.add(roleGossip, "bytes/s at the daily load, sent and received", n, daily, "B/s")
 }
 
-// idleCost returns the bytes per second that one daemon sends without events.
-func idleCost(r *results, s *fleetsim.Sim, n int) float64 {
+// idleCost returns the bytes per second that one daemon sends without events,
+// and the part of them that leaves its region.
+func idleCost(r *results, s *fleetsim.Sim, n int) (sent, region float64) {
 	const seconds = 10
 	a := read(s)
 	s.Run(seconds * time.Second)
@@ -99,17 +103,19 @@
 	r.add(roleGossip, "idle received", n, per(b.received-a.received), "B/s")
 	r.add(roleGossip, "idle messages", n, per(b.messages-a.messages), "1/s")
 	r.add(roleGossip, "idle CPU", n, 100*(b.cpu-a.cpu).Seconds()/float64(n)/seconds, "% of a core")
-	return per(b.sent - a.sent)
+	r.add(roleGossip, "idle sent to other regions", n, per(b.region-a.region), "B/s")
+	return per(b.sent - a.sent), per(b.region - a.region)
 }
 
 // configBurst publishes a burst and returns the bytes that it cost each daemon.
-func configBurst(r *results, s *fleetsim.Sim, c *fleetsim.ConfigStore, idle float64) float64 {
+func configBurst(r *results, role string, s *fleetsim.Sim, c *fleetsim.ConfigStore, idle, regionRate float64) float64 {
 	const seconds = 8
 	before := read(s)
 	published := s.Now()
 	c.Publish(burst, documentBytes)
 	s.Run(seconds * time.Second)
 	cost := bytesOver(s, before) - 2*idle*seconds
+	crossed := float64(read(s).region-before.region)/float64(len(s.Nodes)) - regionRate*seconds
 	version := spread.Version(len(c.Changes))
 	var took []float64
 	for _, n := range s.Nodes {
@@ -119,19 +125,20 @@
 	}
 	slices.Sort(took)
 	size := len(s.Nodes)
-	r.add(roleGossip, "configuration: daemons without the version after 8 s", size, float64(size-len(took)), "daemons")
+	r.add(role, "configuration: daemons without the version after 8 s", size, float64(size-len(took)), "daemons")
 	if len(took) == 0 {
 		return cost
 	}
-	r.add(roleGossip, "configuration: first daemon reads it", size, took[0], "s")
-	r.add(roleGossip, "configuration: 99% have it", size, took[len(took)*99/100], "s")
-	r.add(roleGossip, "configuration: all have it", size, took[len(took)-1], "s")
-	r.add(roleGossip, "configuration: bytes of a burst of 50, sent and received", size, cost/1024, "KB")
+	r.add(role, "configuration: first daemon reads it", size, took[0], "s")
+	r.add(role, "configuration: 99% have it", size, took[len(took)*99/100], "s")
+	r.add(role, "configuration: all have it", size, took[len(took)-1], "s")
+	r.add(role, "configuration: bytes of a burst of 50, sent and received", size, cost/1024, "KB")
+	r.add(role, "configuration: bytes of a burst of 50 that leave the region, per daemon", size, crossed/1024, "KB")
 	most := 0
 	for _, n := range s.Nodes {
 		most = max(most, n.Traffic.SentBytes)
 	}
-	r.add(roleGossip, "configuration: most sent by one daemon since the start", size, float64(most)/1024, "KB")
+	r.add(role, "configuration: most sent by one daemon since the start", size, float64(most)/1024, "KB")
 	return cost
 }
 
@@ -261,6 +268,21 @@
 	detection(r, roleRandom, s)
 }
 
+// measureAnyTeller measures a burst without the preference for the own region.
+func measureAnyTeller(r *results, n int, seed uint64) {
+	s := fleetsim.New(n, seed, fleetsim.TwoYears(n))
+	s.AnyTeller = true
+	s.StartAll()
+	config := s.WithConfig()
+	s.Run(5 * time.Second)
+	const seconds = 5
+	a := read(s)
+	s.Run(seconds * time.Second)
+	b := read(s)
+	per := func(v int) float64 { return float64(v) / float64(n) / seconds }
+	configBurst(r, roleAny, s, config, per(b.sent-a.sent), per(b.region-a.region))
+}
+
 // measureTail kills many daemons of one fleet, 6 s apart, and takes the tail of
 // the detection time.
 func measureTail(r *results, role string, seed uint64, options ...member.Option) {
