--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure
+.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure slopes
 
 SEED ?= 1
 RUNS ?= 200
@@ -42,3 +42,7 @@
 
 measure:
 	$(GO) run ./cmd/measure -out MEASURES.json -plots docs/plots
+
+# Measures control costs per daemon at several sizes; writes SLOPES.json.
+slopes:
+	GOMAXPROCS=3 $(GO) run ./internal/slopes
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -52,6 +52,10 @@
 type Traffic struct {
 	Sent, Received           int
 	SentBytes, ReceivedBytes int
+	// ConfigBytes is the part of ReceivedBytes that is configuration content.
+	ConfigBytes int
+	// RegionBytes is the part of SentBytes that leaves the region.
+	RegionBytes int
 }
 
 // Node is one simulated daemon.
@@ -66,6 +70,9 @@
 	// OnDatagram is told the configuration version of each datagram received.
 	OnDatagram func(n *Node, peerAddress string, d member.Datagram)
 
+	// Config is the configuration of the daemon; nil without WithConfig.
+	Config *Holder
+
 	generation int
 	inbox      []delivery
 }
@@ -88,10 +95,15 @@
 	Extra func() time.Duration
 	// Subscriptions is the number of random services that each daemon calls.
 	Subscriptions int
+	// AnyTeller lets daemons fetch configuration from any region at once.
+	AnyTeller bool
+	// Options are passed to each list.
+	Options []member.Option
 
 	now       time.Time
 	events    events
 	order     int
+	config    *ConfigStore
 	byAddress map[string]*Node
 }
 
@@ -221,10 +233,13 @@
 	n.Up = true
 	n.inbox = nil
 	n.Target.Incarnation = fleet.Incarnation(s.now.UnixNano())
-	n.List = member.New(n.Target, member.WithNow(s.Now), member.WithSeed(s.Random.Uint64()))
+	n.List = member.New(n.Target, append(s.Options, member.WithNow(s.Now), member.WithSeed(s.Random.Uint64()))...)
 	for range s.Subscriptions {
 		n.List.Subscribe(s.Nodes[s.Random.IntN(len(s.Nodes))].Target.Service)
 	}
+	if s.config != nil {
+		s.attach(n)
+	}
 }
 
 // Kill stops a daemon without notice.
@@ -289,6 +304,9 @@
 	n.Traffic.Sent++
 	n.Traffic.SentBytes += len(data) + udpOverhead
 	to := s.byAddress[e.To]
+	if to != nil && to.Target.Place.Region != n.Target.Place.Region {
+		n.Traffic.RegionBytes += len(data) + udpOverhead
+	}
 	if to == nil || s.Cut(n, to) || s.Loss > 0 && s.Random.Float64() < s.Loss {
 		return
 	}
@@ -375,6 +393,22 @@
 func (s *Sim) Account(from, to *Node, size int) {
 	from.Traffic.Sent++
 	from.Traffic.SentBytes += size + callOverhead
+	if from.Target.Place.Region != to.Target.Place.Region {
+		from.Traffic.RegionBytes += size + callOverhead
+	}
 	to.Traffic.Received++
 	to.Traffic.ReceivedBytes += size + callOverhead
 }
+
+// FullList returns the list of one daemon that knows all others.
+func (s *Sim) FullList() *member.List {
+	var records []member.Record
+	for _, n := range s.Nodes {
+		r := member.Record{Target: n.Target, Revision: 1, DetailsRevision: 1, Health: member.Alive, Detailed: true}
+		r.Incarnation = fleet.Incarnation(s.now.UnixNano())
+		records = append(records, r)
+	}
+	list := member.New(s.Nodes[0].Target, member.WithNow(s.Now))
+	list.Merge(member.Request{}, member.Reply{Members: records})
+	return list
+}
