--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -41,10 +41,12 @@
 )
 
 const (
-	// defaultMaxKeys bounds a table to about 10 MB of keys.
-	defaultMaxKeys = 32768
+	// defaultMaxKeys bounds a table to about 4 MB: a key with a small answer
+	// takes 470 bytes. A daemon that owns all slots of a service needs four
+	// tables and has 64 MB in all.
+	defaultMaxKeys = 8192
 	// defaultMaxAnswerBytes bounds the answers that a table keeps.
-	defaultMaxAnswerBytes = 4 << 20
+	defaultMaxAnswerBytes = 1 << 20
 	// defaultMaxAnswer bounds one kept answer; it also fits in a table row.
 	defaultMaxAnswer = 16 << 10
 	// defaultRetention is how long a stamped key is answered for.
