--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,227 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pollenscale/core/store"
+	"pollenscale/io/platform"
+	"pollenscale/standin/memstore"
+	standin "pollenscale/standin/platform"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// serve returns a client of handler with a budget that does not matter and
+// short time-outs.
+func serve(t *testing.T, handler http.Handler, options ...platform.Option) (*platform.Client, string) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	options = append([]platform.Option{
+		platform.WithBudget(10_000, 10_000, 1000),
+		platform.WithTimeouts(300*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond),
+	}, options...)
+	client := platform.New(server.URL, server.URL, options...)
+	t.Cleanup(func() { client.Close(); server.CloseClientConnections(); server.Close() })
+	return client, server.URL
+}
+
+// TestFaults guards against a call to a faulty store that hangs, is reported as
+// done although it may not be, or is repeated although it may have taken effect.
+func TestFaults(t *testing.T) {
+	data, err := os.ReadFile("testdata/faults.json")
+	is.New(t).NoErr(err)
+	var cases []struct {
+		Name                            string
+		Faults                          json.RawMessage
+		OnlyReads                       bool
+		WantTransact, WantRead, WantPut string
+		// WantKept tells that the writes took effect.
+		WantKept bool
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			s := memstore.New()
+			client, url := serve(t, standin.New(s))
+			seed := store.Transaction{Writes: []store.Write{{Table: "t", Key: "a/b c", Value: []byte{0, 255}}}}
+			_, err := client.Tables().Transact(t.Context(), seed)
+			is.NoErr(err)
+			setFaults(t, url, string(c.Faults))
+			start := time.Now()
+			row, _, err := client.Tables().Read(t.Context(), "t", "a/b c")
+			is.Equal(result(err, "Row"), c.WantRead)
+			is.True(err != nil || bytes.Equal(row.Value, []byte{0, 255}))
+			if c.OnlyReads {
+				return
+			}
+			before := s.Counts()
+			one := store.Transaction{Conditions: []store.Condition{{Table: "t", Key: "new"}}, Writes: []store.Write{{Table: "t", Key: "new"}}}
+			got, err := client.Tables().Transact(t.Context(), one)
+			is.Equal(result(err, "Committed"), c.WantTransact)
+			is.Equal(got.Committed, err == nil)
+			is.True(s.Counts().Transactions-before.Transactions <= 1)
+			size, err := client.Objects().Put(t.Context(), "o/1", strings.NewReader("body"))
+			is.Equal(result(err, "Stored"), c.WantPut)
+			is.True(err != nil || size == 4)
+			is.True(time.Since(start) < 3*time.Second)
+			setFaults(t, url, "{}")
+			row, _, err = client.Tables().Read(t.Context(), "t", "new")
+			is.NoErr(err)
+			is.Equal(row.Version != 0, c.WantKept)
+			_, err = client.Objects().Get(t.Context(), "o/1")
+			is.Equal(err == nil, c.WantKept)
+			is.Equal(errors.Is(err, store.ErrNotFound), !c.WantKept)
+			is.NoErr(client.Objects().Delete(t.Context(), "o/1"))
+		})
+	}
+}
+
+func result(err error, success string) string {
+	if err == nil {
+		return success
+	}
+	if errors.Is(err, store.ErrUnavailable) {
+		return "Unavailable"
+	}
+	return err.Error()
+}
+
+func setFaults(t *testing.T, url, faults string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url+"/admin/faults", strings.NewReader(faults))
+	is.New(t).NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(response.Body.Close())
+	is.New(t).Equal(response.StatusCode, http.StatusOK)
+}
+
+// TestList guards against rows out of order or beyond the limit.
+func TestList(t *testing.T) {
+	is := is.New(t)
+	client, _ := serve(t, standin.New(memstore.New()))
+	for _, key := range []string{"p/3", "p/1", "q/1", "p/2"} {
+		_, err := client.Tables().Transact(t.Context(), store.Transaction{Writes: []store.Write{{Table: "t", Key: key}}})
+		is.NoErr(err)
+	}
+	rows, err := client.Tables().List(t.Context(), "t", "p/", "p/1", 1)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Key, "p/2")
+}
+
+// TestConflict guards against a failed condition that is taken for an error,
+// which would leave the outcome open.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	client, _ := serve(t, standin.New(memstore.New()))
+	one := store.Transaction{Conditions: []store.Condition{{Table: "t", Key: "k"}}, Writes: []store.Write{{Table: "t", Key: "k", Value: []byte("v")}}}
+	first, err := client.Tables().Transact(t.Context(), one)
+	is.NoErr(err)
+	second, err := client.Tables().Transact(t.Context(), one)
+	is.NoErr(err)
+	is.Equal(second.Committed, false)
+	is.Equal(second.Conflicts, []store.Row{{Table: "t", Key: "k", Value: []byte("v"), Version: first.Versions[0]}})
+}
+
+// TestBudget guards against a daemon that sends more than its budget, however
+// often its calls are repeated.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	client, _ := serve(t, handler, platform.WithBudget(10, 10, 3))
+	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	for range 5 {
+		_, _, err := client.Tables().Read(ctx, "t", "k")
+		is.True(errors.Is(err, store.ErrUnavailable))
+	}
+	is.True(requests.Load() <= 3+3)
+}
+
+// TestBoundedMemory guards against an object that is held in memory as a whole.
+func TestBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	const size = 256 << 20
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		_ = json.NewEncoder(w).Encode(platform.PutResponse{Size: n})
+	})
+	client, _ := serve(t, handler)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	n, err := client.Objects().Put(t.Context(), "o", io.LimitReader(zeros{}, size))
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	body, err := client.Objects().Get(t.Context(), "o")
+	is.NoErr(err)
+	n, err = io.Copy(io.Discard, body)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	is.NoErr(body.Close())
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < 4<<20)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestBrokenBody guards against an object cut off in the middle that is taken
+// for whole, in either direction, and against one that stalls for ever.
+func TestBrokenBody(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New()
+	client, _ := serve(t, standin.New(s))
+	broken := io.MultiReader(strings.NewReader("half"), errorReader{})
+	_, err := client.Objects().Put(t.Context(), "o", broken)
+	is.True(err != nil)
+	_, err = client.Objects().Get(t.Context(), "o")
+	is.True(errors.Is(err, store.ErrNotFound))
+	stalled, w := io.Pipe()
+	defer w.Close()
+	_, err = client.Objects().Put(t.Context(), "o", stalled)
+	is.True(errors.Is(err, store.ErrUnavailable))
+
+	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		w.(http.Flusher).Flush()
+		if r.URL.Path == "/objects/stalled" {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	})
+	other, _ := serve(t, cut)
+	for _, id := range []string{"cut", "stalled"} {
+		body, err := other.Objects().Get(t.Context(), id)
+		is.NoErr(err)
+		_, err = io.ReadAll(body)
+		is.True(errors.Is(err, store.ErrUnavailable))
+		is.NoErr(body.Close())
+	}
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, errors.New("disk full") }
