--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,29 @@
+package logs_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"pollenscale/internal/logs"
+
+	"github.com/matryer/is"
+)
+
+// TestPrefix guards against messages without the prefix of their part, and
+// against loggers made before Setup that miss its settings.
+func TestPrefix(t *testing.T) {
+	is := is.New(t)
+	previous := slog.Default()
+	defer slog.SetDefault(previous)
+	log := logs.For(logs.Peer).With("daemon", "d1")
+	var out bytes.Buffer
+	is.NoErr(logs.Setup(&out, "warn", logs.Text))
+	log.Info("Connection opened.")
+	log.Warn("Connection lost.", "reason", "silent")
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `msg="peer: Connection lost." daemon=d1 reason=silent`))
+	is.True(logs.Setup(&out, "loud", logs.Text) != nil)
+	is.True(logs.Setup(&out, "info", "Yaml") != nil)
+}
