--- a/core/config/publish.go
+++ b/core/config/publish.go
@@ -93,8 +93,10 @@
 	Next   Digest
 	Edits  []Edit
 	Reason string
-	// Set is the rendered policy after the publish.
-	Set *policy.Set
+	// Before and After are the rendered policy; Before is nil when the version in
+	// force cannot be rendered by this program.
+	Before *policy.Set
+	After  *policy.Set
 
 	docs  Documents
 	delta Documents
@@ -121,12 +123,16 @@
 		}
 		have = snapshot.Documents
 	}
-	set, err := Render(head.Version+1, docs)
+	after, err := Render(head.Version+1, docs)
 	if err != nil {
 		return nil, err
 	}
+	before, err := Render(head.Version, have)
+	if err != nil {
+		before = nil
+	}
 	return &Plan{
-		Base: head.version(), Next: docs.Digest(), Edits: have.Edits(docs), Reason: reason, Set: set,
+		Base: head.version(), Next: docs.Digest(), Edits: have.Edits(docs), Reason: reason, Before: before, After: after,
 		docs: docs, delta: have.Delta(docs), base: head, row: row,
 	}, nil
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,7 +4,6 @@
 package cli
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -30,29 +29,22 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	if err := root.Execute(); err != nil {
-		return Usage
+		return codeOf(err)
 	}
 	return OK
 }
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:          "pollenscale",
-		Short:        "Load balancer with one daemon beside each target",
+		Use:   "pollenscale",
+		Short: "Load balancer with one daemon beside each target",
+		Long: `One daemon runs beside each target. Operators publish the configuration and look
+at the daemons with the other commands.
+
+Exit codes: 0 done, 1 understood and failed, 2 bad arguments, settings or
+declarations.`,
 		SilenceUsage: true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newConfig(), newStatus(), newVersion())
 	return root
 }
-
-func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(c.OutOrStdout(), "pollenscale "+Version)
-			return err
-		},
-	}
-}
--- /dev/null
+++ b/internal/cli/version.go
@@ -0,0 +1,29 @@
+package cli
+
+import (
+	"io"
+	"runtime"
+
+	"github.com/spf13/cobra"
+)
+
+// versionResult is the result of version.
+type versionResult struct {
+	Version string
+	Go      string
+}
+
+func newVersion() *cobra.Command {
+	c := &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  pollenscale version\n  pollenscale version --output json",
+		Args:    cobra.NoArgs,
+	}
+	output := outputFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		v := versionResult{Version: Version, Go: runtime.Version()}
+		return failed(output.print(c.OutOrStdout(), v, func(w io.Writer) { cells(w, "pollenscale "+v.Version) }))
+	}
+	return c
+}
--- a/io/platform/object.go
+++ b/io/platform/object.go
@@ -59,7 +59,7 @@
 // returns an error from Read, never an early end.
 func (c *Client) get(ctx context.Context, id string) (io.ReadCloser, error) {
 	ctx, watch := c.watch(ctx)
-	response, release, err := c.open(ctx, "get", http.MethodGet, c.objectURL(id), http.NoBody)
+	response, release, err := c.open(ctx, "get", http.MethodGet, c.objectURL(id), http.NoBody) //nolint:bodyclose // objectBody closes it
 	if err != nil {
 		err = withCause(ctx, err)
 		watch.stop()
