--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate
+.PHONY: build test lint fmt generate demo
 
 build:
 	$(GO) build -o bin/ ./...
@@ -10,6 +10,9 @@
 test: build
 	$(GO) test ./...
 
+demo: build
+	scripts/demo
+
 fmt:
 	$(GO) run $(GOLANGCI) fmt ./...
 
