--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -24,6 +24,7 @@
 	rate := flag.Float64("rate", 200, "requests per second")
 	duration := flag.Duration("duration", 10*time.Second, "time during which requests are sent")
 	repeat := flag.Float64("repeat", 0.1, "share of bookings that are sent twice")
+	answered := flag.Float64("answered", 0, "share of each rank that must be answered")
 	organisation := flag.String("organisation", "estudio-puente", "organisation of the requests")
 	seed := flag.Uint64("seed", 1, "seed of the mix")
 	asJSON := flag.Bool("json", false, "print the result as JSON")
@@ -35,7 +36,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	l := &load.Load{
 		Daemons: split(*daemons), RunLogs: split(*runs), Kinds: load.Puente(names...), Rate: *rate,
-		Duration: *duration, RepeatShare: *repeat, Organisation: fleet.Organisation(*organisation), Seed: *seed,
+		Duration: *duration, RepeatShare: *repeat, MinAnswered: *answered, Organisation: fleet.Organisation(*organisation), Seed: *seed,
 	}
 	result, err := l.Run(ctx)
 	stop()
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -65,7 +65,10 @@
 	// Duration is the time during which requests are sent.
 	Duration time.Duration
 	// RepeatShare is the share of keyed requests that are sent twice.
-	RepeatShare  float64
+	RepeatShare float64
+	// MinAnswered is the share of each rank that must be answered, so that a
+	// system which refuses everything does not pass.
+	MinAnswered  float64
 	Organisation fleet.Organisation
 	Seed         uint64
 
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -69,6 +69,7 @@
 	is.New(t).NoErr(err)
 	var cases []struct {
 		Name, Behaviour, WantViolation    string
+		MinAnswered                       float64
 		WantNotRun, WantUnknown, WantLate bool
 	}
 	is.New(t).NoErr(json.Unmarshal(data, &cases))
@@ -80,7 +81,7 @@
 			defer server.Close()
 			l := &load.Load{
 				Daemons: []string{server.URL, server.URL}, RunLogs: []string{server.URL + "/runs"},
-				Kinds: load.Puente(), Rate: 300, Duration: 500 * time.Millisecond, RepeatShare: 0.5, Seed: 1,
+				Kinds: load.Puente(), Rate: 300, Duration: 500 * time.Millisecond, RepeatShare: 0.5, Seed: 1, MinAnswered: c.MinAnswered,
 			}
 			result, err := l.Run(t.Context())
 			is.NoErr(err)
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -100,6 +100,9 @@
 	for _, name := range slices.Sorted(maps.Keys(l.ranks)) {
 		c := l.ranks[name]
 		ms := func(q float64) float64 { return float64(c.latency.ValueAtQuantile(q)) / 1000 }
+		if float64(c.Answered) < l.MinAnswered*float64(c.Sent) {
+			l.violate("rank %s: %d of %d requests were answered, at least %.0f%% must be", name, c.Answered, c.Sent, 100*l.MinAnswered)
+		}
 		c.P50Ms, c.P99Ms, c.P999Ms = ms(50), ms(99), ms(99.9)
 		l.result.Ranks = append(l.result.Ranks, c.RankResult)
 	}
