--- a/core/config/publish_test.go
+++ b/core/config/publish_test.go
@@ -24,7 +24,11 @@
 // withTimeout returns the documents with the deadline of agenda's lookups set,
 // and padding bytes that do not change its meaning.
 func withTimeout(docs config.Documents, service string, ms, padding int) config.Documents {
-	body := fmt.Sprintf(`{"Template":"pages","Parameters":{"LookupTimeout":%d}}%*s`, ms, padding, "")
+	parameters := fmt.Sprintf(`"LookupTimeout":%d`, ms)
+	if service != "agenda" {
+		parameters += `,"DefaultOrganisation":""` // no organisation lists it
+	}
+	body := fmt.Sprintf(`{"Template":"pages","Parameters":{%s}}%*s`, parameters, padding, "")
 	return docs.With(config.Documents{"services/" + service + ".json": []byte(body)})
 }
 
@@ -293,16 +297,25 @@
 	}
 }
 
+// plan returns nil when the store does not answer; any other failure is one of
+// the test.
+func (w *world) plan(r *rapid.T, operator string) *config.Plan {
+	plan, err := publisher(w.store, operator).Plan(context.Background(), w.next(r), "")
+	if err != nil && !errors.Is(err, store.ErrUnavailable) {
+		r.Fatalf("plan: %v", err)
+	}
+	return plan
+}
+
 func (w *world) publish(r *rapid.T) {
-	if plan, err := publisher(w.store, "ana").Plan(context.Background(), w.next(r), ""); err == nil {
+	if plan := w.plan(r, "ana"); plan != nil {
 		w.operate(r, plan)
 	}
 }
 
 func (w *world) race(r *rapid.T) {
-	one, err1 := publisher(w.store, "ana").Plan(context.Background(), w.next(r), "")
-	two, err2 := publisher(w.store, "ben").Plan(context.Background(), w.next(r), "")
-	if err1 == nil && err2 == nil {
+	one, two := w.plan(r, "ana"), w.plan(r, "ben")
+	if one != nil && two != nil {
 		w.operate(r, one, two)
 	}
 }
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -131,11 +131,12 @@
 	if len(r.problems) > before {
 		return nil
 	}
-	r.add(spec.check(positions)...)
+	r.add(filledIn(service.file, spec.check(positions))...)
 	out := spec.policy(fleet.Service(name))
 	r.shares(t, name, out)
 	if _, ok := out.Organisations[out.DefaultOrganisation]; spec.DefaultOrganisation != "" && !ok {
-		r.add(positions.Problem("DefaultOrganisation", "must be an organisation that lists the service, is %q", spec.DefaultOrganisation))
+		problem := positions.Problem("DefaultOrganisation", "must be an organisation that lists the service, is %q", spec.DefaultOrganisation)
+		r.add(filledIn(service.file, strictjson.Errors{problem})...)
 	}
 	return out
 }
@@ -230,13 +231,19 @@
 		return spec, nil
 	}
 	positions, problems := strictjson.Decode(node, &spec)
+	r.add(filledIn(user, problems)...)
+	return spec, positions
+}
+
+// filledIn names the file that the template was filled in for, where the
+// position does not.
+func filledIn(user string, problems strictjson.Errors) strictjson.Errors {
 	for i := range problems {
 		if problems[i].Position.File != user {
 			problems[i].Message += " (filled in for " + user + ")"
 		}
 	}
-	r.add(problems...)
-	return spec, positions
+	return problems
 }
 
 // reference returns the parameter that a value such as "${Timeout}" refers to.
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -52,11 +52,19 @@
 // Errors are the mistakes found; as an error it has one line for each.
 type Errors []Problem
 
-// Error returns one line for each problem.
+// maxLines bounds the text of an error: one mistake in a template is found once
+// for each of its services.
+const maxLines = 50
+
+// Error returns one line for each problem, up to 50.
 func (p Errors) Error() string {
-	lines := make([]string, len(p))
+	lines := make([]string, 0, maxLines+1)
 	for i := range p {
-		lines[i] = p[i].String()
+		if i == maxLines {
+			lines = append(lines, fmt.Sprintf("and %d more", len(p)-maxLines))
+			break
+		}
+		lines = append(lines, p[i].String())
 	}
 	return strings.Join(lines, "\n")
 }
