--- a/core/config/holder.go
+++ b/core/config/holder.go
@@ -40,6 +40,7 @@
 	mu        sync.Mutex
 	history   []Change
 	announced uint64
+	cache     cache
 }
 
 // held is a version in force; it is immutable.
@@ -188,7 +189,7 @@
 		return
 	}
 	s.at = next
-	set, err := Render(next.Number, next.Documents)
+	set, err := s.holder.cache.render(next.Number, next.Documents)
 	if err != nil {
 		s.refuse("version %d: %v", next.Number, err)
 		// The change must not be propagated, so that the history starts anew.
--- a/core/config/publish_test.go
+++ b/core/config/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -351,6 +352,15 @@
 	if _, err := h.ApplyUpdate(u); err != nil && !errors.Is(err, config.ErrGap) {
 		r.Fatalf("refused a published version: %v", err)
 	}
+	// The policy in force is rendered in parts; it must equal a whole rendering.
+	have := h.Snapshot()
+	if have.Number == 0 {
+		return
+	}
+	want, err := config.Render(have.Number, have.Documents)
+	if err != nil || !reflect.DeepEqual(h.Current(), want) {
+		r.Fatalf("version %d is not in force as it renders: %v", have.Number, err)
+	}
 }
 
 // restart replaces a daemon during an outage. A daemon keeps no state, so that
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strconv"
@@ -18,14 +19,37 @@
 // else from the organisation, else from the service, else from the default.
 // Organisations affect the Organisation section alone.
 func Render(version uint64, docs Documents) (*policy.Set, error) {
+	return (&cache{}).render(version, docs)
+}
+
+// cache renders and keeps the parsed documents and rendered services of the
+// last version, so that a change costs the parts that it touches. Rendering all
+// of 330 services took 31 ms of CPU, and changes come in bursts of 50.
+type cache struct {
+	templates     map[string]*template
+	services      map[string]*declared[serviceFile]
+	organisations map[string]*declared[organisationFile]
+	rendered      map[string]renderedService
+}
+
+// renderedService is a service with what it was rendered from.
+type renderedService struct {
+	template      *template
+	service       *declared[serviceFile]
+	organisations []*declared[organisationFile]
+	policy        *policy.Service
+}
+
+func (c *cache) render(version uint64, docs Documents) (*policy.Set, error) {
 	if err := docs.check(); err != nil {
 		return nil, err
 	}
 	r := &renderer{
+		before:        *c,
 		templates:     map[string]*template{},
-		services:      map[string]declared[serviceFile]{},
-		organisations: map[string]declared[organisationFile]{},
-		given:         map[string]bool{},
+		services:      map[string]*declared[serviceFile]{},
+		organisations: map[string]*declared[organisationFile]{},
+		rendered:      map[string]renderedService{},
 	}
 	r.read(docs)
 	if len(r.problems) > 0 {
@@ -41,30 +65,59 @@
 	if len(r.problems) > 0 {
 		return nil, r.problems
 	}
+	*c = cache{templates: r.templates, services: r.services, organisations: r.organisations, rendered: r.rendered}
 	return set, nil
 }
 
+// declared is a parsed document; it is immutable.
 type declared[T any] struct {
 	file      string
+	body      []byte
 	value     T
 	positions strictjson.Positions
 }
 
+// template is a parsed template with the parameters that its values refer to.
 type template struct {
-	declared[templateFile]
+	*declared[templateFile]
 	used map[string]bool
+	// organisation are the parameters of the Organisation section.
+	organisation map[string]parameter
+}
+
+func newTemplate(d *declared[templateFile]) *template {
+	t := &template{declared: d, used: map[string]bool{}, organisation: map[string]parameter{}}
+	if d.value.Service == nil {
+		return t
+	}
+	eachReference(d.value.Service, func(name string) { t.used[name] = true })
+	for _, f := range d.value.Service.Fields {
+		if f.Name == "Organisation" {
+			eachReference(f.Value, func(name string) { t.organisation[name] = d.value.Parameters[name] })
+		}
+	}
+	return t
+}
+
+func eachReference(n *strictjson.Node, visit func(name string)) {
+	n.Map(func(n *strictjson.Node) *strictjson.Node {
+		if name, ok := reference(n); ok {
+			visit(name)
+		}
+		return n
+	})
 }
 
 // values are parameter values by name.
 type values = map[string]*strictjson.Node
 
 type renderer struct {
+	before        cache
 	templates     map[string]*template
-	services      map[string]declared[serviceFile]
-	organisations map[string]declared[organisationFile]
-	// given holds file and name of the organisations' parameters in use.
-	given    map[string]bool
-	problems strictjson.Errors
+	services      map[string]*declared[serviceFile]
+	organisations map[string]*declared[organisationFile]
+	rendered      map[string]renderedService
+	problems      strictjson.Errors
 }
 
 func (r *renderer) add(p ...strictjson.Problem) {
@@ -79,11 +132,15 @@
 		}
 		switch {
 		case strings.HasPrefix(file, templatesDir):
-			r.templates[name] = &template{declared: decode[templateFile](r, file, docs[file]), used: map[string]bool{}}
+			if t := r.before.templates[name]; t != nil && bytes.Equal(t.body, docs[file]) {
+				r.templates[name] = t
+				continue
+			}
+			r.templates[name] = newTemplate(decode[templateFile](r, nil, file, docs[file]))
 		case strings.HasPrefix(file, servicesDir):
-			r.services[name] = decode[serviceFile](r, file, docs[file])
+			r.services[name] = decode(r, r.before.services[name], file, docs[file])
 		default:
-			r.organisations[name] = decode[organisationFile](r, file, docs[file])
+			r.organisations[name] = decode(r, r.before.organisations[name], file, docs[file])
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.organisations)) {
@@ -96,8 +153,12 @@
 	}
 }
 
-func decode[T any](r *renderer, file string, body []byte) declared[T] {
-	d := declared[T]{file: file}
+// decode parses a document, unless it is the same as before.
+func decode[T any](r *renderer, before *declared[T], file string, body []byte) *declared[T] {
+	if before != nil && bytes.Equal(before.body, body) {
+		return before
+	}
+	d := &declared[T]{file: file, body: body}
 	node, err := strictjson.Parse(file, body)
 	if err != nil {
 		r.add(asErrors(err)...)
@@ -125,6 +186,11 @@
 		r.add(service.positions.Problem("Template", "no such template: %q; declared are %s", service.value.Template, list(r.templates)))
 		return nil
 	}
+	now := renderedService{template: t, service: service, organisations: r.listing(name)}
+	if old, ok := r.before.rendered[name]; ok && old.same(now) {
+		r.rendered[name] = old
+		return old.policy
+	}
 	before := len(r.problems)
 	r.checkNames(t.file, t.value.Parameters, service.value.Parameters, service.positions, "Parameters")
 	spec, positions := r.fill(t, service.file, service.value.Parameters)
@@ -133,62 +199,54 @@
 	}
 	r.add(filledIn(service.file, spec.check(positions))...)
 	out := spec.policy(fleet.Service(name))
-	r.shares(t, name, out)
+	for _, o := range now.organisations {
+		r.share(t, service, o, out)
+	}
 	if _, ok := out.Organisations[out.DefaultOrganisation]; spec.DefaultOrganisation != "" && !ok {
 		problem := positions.Problem("DefaultOrganisation", "must be an organisation that lists the service, is %q", spec.DefaultOrganisation)
 		r.add(filledIn(service.file, strictjson.Errors{problem})...)
 	}
+	now.policy = out
+	r.rendered[name] = now
 	return out
 }
 
-// shares sets the share of each organisation that lists the service.
-func (r *renderer) shares(t *template, service string, out *policy.Service) {
-	base := r.services[service]
+func (s renderedService) same(other renderedService) bool {
+	return s.template == other.template && s.service == other.service && slices.Equal(s.organisations, other.organisations)
+}
+
+// listing returns the organisations that list the service, by name.
+func (r *renderer) listing(service string) []*declared[organisationFile] {
+	var out []*declared[organisationFile]
 	for _, name := range slices.Sorted(maps.Keys(r.organisations)) {
-		o := r.organisations[name]
-		own, ok := o.value.Services[service]
-		if !ok {
-			continue
-		}
-		before := len(r.problems)
-		allowed := t.organisationParameters()
-		r.checkNames(t.file, allowed, own, o.positions, "Services["+service+"]")
-		merged := maps.Clone(base.value.Parameters)
-		if merged == nil {
-			merged = values{}
-		}
-		for key, value := range o.value.Parameters {
-			// Parameters of an organisation apply to services of several
-			// templates, so that one which a template lacks is passed over.
-			if _, known := allowed[key]; known {
-				merged[key] = value
-				r.given[o.file+key] = true
-			}
+		if o := r.organisations[name]; o.value.Services[service] != nil {
+			out = append(out, o)
 		}
-		maps.Copy(merged, own)
-		if len(r.problems) > before {
-			continue
-		}
-		spec, _ := r.fill(t, o.file, merged)
-		out.Organisations[fleet.Organisation(name)] = spec.Organisation.Share
 	}
+	return out
 }
 
-// organisationParameters are those that the Organisation section refers to.
-func (t *template) organisationParameters() map[string]parameter {
-	out := map[string]parameter{}
-	for _, f := range t.value.Service.Fields {
-		if f.Name != "Organisation" {
-			continue
+// share sets the share of an organisation that lists the service.
+func (r *renderer) share(t *template, service *declared[serviceFile], o *declared[organisationFile], out *policy.Service) {
+	name := string(out.Name)
+	own := o.value.Services[name]
+	before := len(r.problems)
+	r.checkNames(t.file, t.organisation, own, o.positions, "Services["+name+"]")
+	if len(r.problems) > before {
+		return
+	}
+	merged := values{}
+	maps.Copy(merged, service.value.Parameters)
+	for key, value := range o.value.Parameters {
+		// Parameters of an organisation apply to services of several templates,
+		// so that one which a template lacks is passed over.
+		if _, known := t.organisation[key]; known {
+			merged[key] = value
 		}
-		f.Value.Map(func(n *strictjson.Node) *strictjson.Node {
-			if name, ok := reference(n); ok {
-				out[name] = t.value.Parameters[name]
-			}
-			return n
-		})
 	}
-	return out
+	maps.Copy(merged, own)
+	spec, _ := r.fill(t, o.file, merged)
+	out.Organisations[fleet.Organisation(nameOf(o.file))] = spec.Organisation.Share
 }
 
 func (r *renderer) checkNames(file string, allowed map[string]parameter, given values, at strictjson.Positions, path string) {
@@ -208,7 +266,6 @@
 		if !ok {
 			return n
 		}
-		t.used[name] = true
 		declared, known := t.value.Parameters[name]
 		if !known {
 			r.add(strictjson.Problem{Position: n.Position, Message: "no parameter " + name + "; declared are " + list(t.value.Parameters)})
@@ -262,7 +319,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.templates)) {
 		t := r.templates[name]
-		if len(t.used) == 0 && !r.isUsed(name) {
+		if !r.isUsed(name) {
 			r.add(strictjson.Problem{Position: strictjson.Position{File: t.file}, Message: "no service uses the template"})
 			continue
 		}
@@ -275,13 +332,23 @@
 	for _, name := range slices.Sorted(maps.Keys(r.organisations)) {
 		o := r.organisations[name]
 		for _, p := range slices.Sorted(maps.Keys(o.value.Parameters)) {
-			if !r.given[o.file+p] {
+			if !r.hasEffect(o, p) {
 				r.add(o.positions.Problem("Parameters["+p+"]", "not a parameter of the Organisation section of any of its services"))
 			}
 		}
 	}
 }
 
+// hasEffect reports whether the parameter belongs to a service of o.
+func (r *renderer) hasEffect(o *declared[organisationFile], parameter string) bool {
+	for service := range o.value.Services {
+		if _, ok := r.templates[r.services[service].value.Template].organisation[parameter]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *renderer) isUsed(template string) bool {
 	for _, s := range r.services {
 		if s.value.Template == template {
