--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -9,7 +9,10 @@
 
 import (
 	"encoding/json"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,11 +122,37 @@
 func (e Endpoints) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 	metrics.WritePrometheus(w, true)
+	if e.Status != nil {
+		e.Status().writeMetrics(w)
+	}
 	if e.WriteMetrics != nil {
 		e.WriteMetrics(w)
 	}
 }
 
+// writeMetrics writes the gauges that follow from the status.
+func (s Status) writeMetrics(w io.Writer) {
+	up := uint64(0)
+	if s.StoreUp {
+		up = 1
+	}
+	metrics.WriteGaugeUint64(w, "pollenscale_config_version", s.ConfigVersion)
+	metrics.WriteGaugeUint64(w, "pollenscale_config_behind", s.ConfigBehind)
+	metrics.WriteCounterUint64(w, "pollenscale_config_refused_total", s.ConfigRefused)
+	metrics.WriteGaugeUint64(w, "pollenscale_store_up", up)
+	metrics.WriteGaugeUint64(w, "pollenscale_target_slots", uint64(s.Slots))
+	metrics.WriteGaugeUint64(w, "pollenscale_target_running", uint64(s.Running))
+	metrics.WriteGaugeUint64(w, "pollenscale_target_queued", uint64(s.Queued))
+	metrics.WriteGaugeUint64(w, "pollenscale_uploads_parked", uint64(len(s.Parked)))
+	health := map[string]uint64{"Alive": 0, "Suspect": 0, "Dead": 0}
+	for _, m := range s.Members {
+		health[m.Health]++
+	}
+	for _, name := range slices.Sorted(maps.Keys(health)) {
+		metrics.WriteGaugeUint64(w, `pollenscale_members{health="`+name+`"}`, health[name])
+	}
+}
+
 func (e Endpoints) healthz(w http.ResponseWriter, _ *http.Request) {
 	if e.Healthy == nil {
 		reply(w, http.StatusOK, "ok")
