--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -29,8 +29,10 @@
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			e := operator.Endpoints{
-				Ready:  func() []string { return c.NotReady },
-				Status: func() operator.Status { return operator.Status{ConfigVersion: 7, Members: []operator.Member{{Health: "Suspect"}}} },
+				Ready: func() []string { return c.NotReady },
+				Status: func() operator.Status {
+					return operator.Status{ConfigVersion: 7, Members: []operator.Member{{Health: "Suspect"}}}
+				},
 				Healthy: func() error {
 					if c.Unhealthy == "" {
 						return nil
--- a/io/platform/object.go
+++ b/io/platform/object.go
@@ -22,14 +22,18 @@
 // body that blocks may outlast put, so that the caller closes the body after an
 // error.
 func (c *Client) put(ctx context.Context, id string, body io.Reader) (int64, error) {
+	release, err := c.admitObject(ctx, "put", http.MethodPut)
+	if err != nil {
+		return 0, err
+	}
+	defer release()
 	ctx, watch := c.watch(ctx)
 	defer watch.stop()
 	sent := &watchedReader{Reader: body, watch: watch}
-	response, release, err := c.open(ctx, "put", http.MethodPut, c.objectURL(id), interruptible(ctx, sent))
+	response, err := c.open(ctx, "put", http.MethodPut, c.objectURL(id), interruptible(ctx, sent))
 	if err != nil {
 		return 0, withCause(ctx, err)
 	}
-	defer release()
 	defer response.Body.Close() //nolint:errcheck // a read-only body
 	var out PutResponse
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&out); err != nil {
@@ -55,14 +59,19 @@
 	return in
 }
 
-// get opens an object. Only the opening is repeated; a body that breaks off
-// returns an error from Read, never an early end.
+// get opens an object. It is not repeated. A body that breaks off returns an
+// error from Read, never an early end.
 func (c *Client) get(ctx context.Context, id string) (io.ReadCloser, error) {
+	release, err := c.admitObject(ctx, "get", http.MethodGet)
+	if err != nil {
+		return nil, err
+	}
 	ctx, watch := c.watch(ctx)
-	response, release, err := c.open(ctx, "get", http.MethodGet, c.objectURL(id), http.NoBody) //nolint:bodyclose // objectBody closes it
+	response, err := c.open(ctx, "get", http.MethodGet, c.objectURL(id), http.NoBody) //nolint:bodyclose // objectBody closes it
 	if err != nil {
 		err = withCause(ctx, err)
 		watch.stop()
+		release()
 		return nil, err
 	}
 	return &objectBody{
@@ -93,6 +102,14 @@
 	return b.body.Close()
 }
 
+// admitObject waits for the budget no longer than other calls do, also when the
+// transfer itself has no deadline.
+func (c *Client) admitObject(ctx context.Context, name, method string) (release func(), err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.admit(ctx, name, method)
+}
+
 // watch cancels the context when the transfer makes no progress.
 func (c *Client) watch(ctx context.Context) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -11,7 +11,8 @@
 //	GET    /objects/ID
 //	DELETE /objects/ID
 //
-// Reads and deletes are repeated with jittered back-off until their deadline.
+// Reads and deletes are repeated with jittered back-off until their deadline,
+// within a budget of requests per second that shrinks while the platform fails.
 // Transactions and puts are sent once: after an error their outcome is open,
 // and only the caller can settle it.
 package platform
@@ -53,13 +54,14 @@
 	maxInFlight = 32
 )
 
-// The default budget of one daemon. 210 daemons that restart at once would
-// exceed the 500 reads/s of the fleet with more than about 2 each; the burst
-// serves the start of a daemon.
+// The default budget of one daemon. 210 daemons that restart at once then make
+// at most 420 reads in the first second of the 500 that the platform serves.
+// Whoever assembles a daemon knows its role and the size of the fleet, and sets
+// its budget accordingly.
 const (
 	defaultReadsPerSecond  = 2
 	defaultWritesPerSecond = 2
-	defaultBurst           = 20
+	defaultBurst           = 2
 )
 
 // ErrBudget means that the call would exceed the daemon's request budget. It
@@ -87,8 +89,8 @@
 	tables         string
 	objects        string
 	http           *http.Client
-	reads          *rate.Limiter
-	writes         *rate.Limiter
+	reads          *pace
+	writes         *pace
 	inFlight       chan struct{}
 	timeout        time.Duration
 	attemptTimeout time.Duration
@@ -101,10 +103,7 @@
 // WithBudget bounds the requests per second, with bursts of up to burst.
 // Repeated attempts count. Calls wait for the budget until their deadline.
 func WithBudget(reads, writes float64, burst int) Option {
-	return func(c *Client) {
-		c.reads = rate.NewLimiter(rate.Limit(reads), burst)
-		c.writes = rate.NewLimiter(rate.Limit(writes), burst)
-	}
+	return func(c *Client) { c.SetBudget(reads, writes, burst) }
 }
 
 // WithTimeouts sets the bounds of a call without an earlier deadline, of one
@@ -132,16 +131,23 @@
 			IdleConnTimeout:       time.Minute,
 			ResponseHeaderTimeout: defaultStallTimeout,
 		}},
+		reads: newPace(), writes: newPace(),
 		inFlight: make(chan struct{}, maxInFlight),
 		timeout:  defaultTimeout, attemptTimeout: defaultAttemptTimeout, stallTimeout: defaultStallTimeout,
 	}
-	WithBudget(defaultReadsPerSecond, defaultWritesPerSecond, defaultBurst)(c)
+	c.SetBudget(defaultReadsPerSecond, defaultWritesPerSecond, defaultBurst)
 	for _, o := range options {
 		o(c)
 	}
 	return c
 }
 
+// SetBudget changes the budget, for example as the fleet grows.
+func (c *Client) SetBudget(reads, writes float64, burst int) {
+	c.reads.set(rate.Limit(reads), burst)
+	c.writes.set(rate.Limit(writes), burst)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
@@ -165,7 +171,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return result, c.send(ctx, call{name: "transact", method: http.MethodPost, url: c.tables + "/tables/transact", body: body, out: &result})
+	return result, c.send(ctx, c.timeout, call{name: "transact", method: http.MethodPost, url: c.tables + "/tables/transact", body: body, out: &result})
 }
 
 func (c *Client) read(ctx context.Context, table store.Table, key string) (store.Row, time.Time, error) {
@@ -205,10 +211,13 @@
 func (c *Client) repeat(ctx context.Context, one call) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	var last error
 	for backoff := firstBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		attempt, done := context.WithTimeout(ctx, c.attemptTimeout)
-		err := c.send(attempt, one)
-		done()
+		err := c.send(ctx, c.attemptTimeout, one)
+		if last != nil && errors.Is(err, ErrBudget) {
+			return last // says more than the lack of budget that followed it
+		}
+		last = err
 		if err == nil || errors.Is(err, ErrBudget) || errors.Is(err, store.ErrNotFound) || !errors.Is(err, store.ErrUnavailable) {
 			return err
 		}
@@ -222,13 +231,20 @@
 	}
 }
 
-// send makes one attempt of the call.
-func (c *Client) send(ctx context.Context, one call) error {
-	response, release, err := c.open(ctx, one.name, one.method, one.url, bytes.NewReader(one.body))
+// send makes one attempt of the call, of at most the given length from when the
+// budget allows it.
+func (c *Client) send(ctx context.Context, length time.Duration, one call) error {
+	release, err := c.admit(ctx, one.name, one.method)
 	if err != nil {
 		return err
 	}
 	defer release()
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	response, err := c.open(ctx, one.name, one.method, one.url, bytes.NewReader(one.body))
+	if err != nil {
+		return err
+	}
 	defer response.Body.Close() //nolint:errcheck // a read-only body
 	if one.out == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
@@ -244,18 +260,11 @@
 	return errors.Wrapf(json.Unmarshal(data, one.out), "%s: decode the answer", one.name)
 }
 
-// open takes a place in the budget, sends the request and checks the status.
-// The caller calls release when it has read the body.
-func (c *Client) open(ctx context.Context, name, method, at string, body io.Reader) (*http.Response, func(), error) {
-	release, err := c.admit(ctx, method)
-	if err != nil {
-		count(name, "budget")
-		return nil, nil, err
-	}
+// open sends an admitted request and checks the status.
+func (c *Client) open(ctx context.Context, name, method, at string, body io.Reader) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, at, body)
 	if err != nil {
-		release()
-		return nil, nil, err
+		return nil, err
 	}
 	start := time.Now()
 	response, err := c.http.Do(request)
@@ -263,27 +272,34 @@
 	if err == nil {
 		err = status(response)
 	}
+	c.pace(method).report(ctx, err)
 	if err != nil {
-		release()
 		count(name, "failed")
-		return nil, nil, unavailable(err)
+		return nil, unavailable(err)
 	}
 	count(name, "ok")
-	return response, release, nil
+	return response, nil
 }
 
-func (c *Client) admit(ctx context.Context, method string) (release func(), err error) {
-	limiter := c.writes
+func (c *Client) pace(method string) *pace {
 	if method == http.MethodGet {
-		limiter = c.reads
+		return c.reads
 	}
-	if err := limiter.Wait(ctx); err != nil {
+	return c.writes
+}
+
+// admit waits for the budget until the deadline. The caller calls release when
+// it has read the answer.
+func (c *Client) admit(ctx context.Context, name, method string) (release func(), err error) {
+	if err := c.pace(method).limiter.Wait(ctx); err != nil {
+		count(name, "budget")
 		return nil, errors.Mark(errors.Wrap(ErrBudget, err.Error()), store.ErrUnavailable)
 	}
 	select {
 	case c.inFlight <- struct{}{}:
 		return func() { <-c.inFlight }, nil
 	case <-ctx.Done():
+		count(name, "budget")
 		return nil, errors.Mark(errors.Wrap(ErrBudget, "too many requests in flight"), store.ErrUnavailable)
 	}
 }
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // serve returns a client of handler with a budget that does not matter and
@@ -156,6 +157,47 @@
 	is.True(requests.Load() <= 3+3)
 }
 
+// TestPace guards against a fleet that keeps a failing platform down with its
+// repeated calls, and against daemons that stay slow after it is back.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	var up atomic.Bool
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		if !up.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	})
+	client, _ := serve(t, handler, platform.WithBudget(200, 200, 1), platform.WithTimeouts(600*time.Millisecond, 100*time.Millisecond, time.Second))
+	read := func(calls int) (failed int) {
+		ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+		defer cancel()
+		var group errgroup.Group
+		var failures atomic.Int64
+		for range calls {
+			group.Go(func() error {
+				if _, _, err := client.Tables().Read(ctx, "t", "k"); err != nil {
+					failures.Add(1)
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+		return int(failures.Load())
+	}
+	is.Equal(read(20), 20)
+	is.True(requests.Load() <= 40) // the 20 first ones and 10/s after them; about 120 at the full budget
+	up.Store(true)
+	recovered := false
+	for end := time.Now().Add(5 * time.Second); !recovered && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		recovered = read(1) == 0 && read(20) == 0
+	}
+	is.True(recovered)
+}
+
 // TestBoundedMemory guards against an object that is held in memory as a whole.
 func TestBoundedMemory(t *testing.T) {
 	is := is.New(t)
