--- a/core/config/publish_test.go
+++ b/core/config/publish_test.go
@@ -267,6 +267,10 @@
 	if err != nil || len(docs) == 0 {
 		docs = w.base
 	}
+	if rapid.Bool().Draw(r, "organisation") {
+		body := fmt.Sprintf(`{"Services":{"agenda":{"OrganisationShare":%d}}}`, w.count)
+		return docs.With(config.Documents{"organisations/voces-del-sur.json": []byte(body)})
+	}
 	return withTimeout(docs, service, w.count, padding)
 }
 
