--- a/core/config/declaration.go
+++ b/core/config/declaration.go
@@ -1,7 +1,10 @@
 package config
 
 import (
+	"fmt"
+	"maps"
 	"path"
+	"slices"
 	"strings"
 
 	"pollenscale/core/fleet"
@@ -41,12 +44,14 @@
 
 // serviceSpec is the service of a template after it is filled in.
 type serviceSpec struct {
-	Ranks              []rankSpec  `validate:"min=1,max=16,dive"`
-	DefaultRank        string      `validate:"required"`
-	Routes             []routeSpec `validate:"max=256,dive"`
-	Retry              retrySpec
-	MaxBodyBytes       int64   `validate:"min=1"`
-	KeySlots           int     `validate:"min=1,max=64"`
+	Ranks        []rankSpec  `validate:"min=1,max=16,dive"`
+	DefaultRank  string      `validate:"required"`
+	Routes       []routeSpec `validate:"max=256,dive"`
+	Retry        retrySpec
+	MaxBodyBytes int64 `validate:"min=1"`
+	// KeySlots is fixed: with another number a key would move to a slot whose
+	// owner does not know that it ran.
+	KeySlots           int     `validate:"omitempty,eq=4"`
 	ProbeShare         float64 `validate:"min=0,max=1"`
 	LinkBytesPerSecond int64   `validate:"min=0"`
 	// DefaultOrganisation is that of requests which name none.
@@ -82,6 +87,9 @@
 	Share float64 `validate:"gt=0,max=1000000"`
 }
 
+// keySlots is the number of slots of idempotency keys of each service.
+const keySlots = 4
+
 // nameOf returns the name of a document: the file name without suffix.
 func nameOf(file string) string {
 	return strings.TrimSuffix(path.Base(file), documentSuffix)
@@ -147,7 +155,7 @@
 		DefaultRank:         fleet.Rank(s.DefaultRank),
 		Retry:               policy.Retry{Share: policy.Share(s.Retry.Share), MaxAttempts: s.Retry.MaxAttempts, HedgeShare: policy.Share(s.Retry.HedgeShare)},
 		MaxBodyBytes:        fleet.Bytes(s.MaxBodyBytes),
-		KeySlots:            s.KeySlots,
+		KeySlots:            keySlots,
 		Organisations:       map[fleet.Organisation]float64{},
 		DefaultOrganisation: fleet.Organisation(s.DefaultOrganisation),
 		ProbeShare:          policy.Share(s.ProbeShare),
@@ -171,3 +179,26 @@
 	}
 	return out
 }
+
+// warnings names changes of the key rule of a route that services of both sets
+// have. A key that ran under the earlier rule may be unknown under the later.
+func warnings(before, after *policy.Set) []string {
+	var out []string
+	if before == nil {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(after.Services)) {
+		old := before.Service(name)
+		if old == nil {
+			continue
+		}
+		for _, r := range after.Services[name].Routes {
+			was := old.Route(r.Method, r.PathPrefix).KeyRule
+			if was != r.KeyRule && was != policy.KeyNone && was != "" {
+				out = append(out, fmt.Sprintf("%s: the key rule of %s %s changes from %s to %s; a key sent before may run again if it is repeated after",
+					name, r.Method, r.PathPrefix, was, r.KeyRule))
+			}
+		}
+	}
+	return out
+}
--- a/core/config/publish.go
+++ b/core/config/publish.go
@@ -97,6 +97,8 @@
 	// force cannot be rendered by this program.
 	Before *policy.Set
 	After  *policy.Set
+	// Warnings are effects of the changes that an operator might not expect.
+	Warnings []string
 
 	docs  Documents
 	delta Documents
@@ -132,7 +134,7 @@
 		before = nil
 	}
 	return &Plan{
-		Base: head.version(), Next: docs.Digest(), Edits: have.Edits(docs), Reason: reason, Before: before, After: after,
+		Base: head.version(), Next: docs.Digest(), Edits: have.Edits(docs), Reason: reason, Before: before, After: after, Warnings: warnings(before, after),
 		docs: docs, delta: have.Delta(docs), base: head, row: row,
 	}, nil
 }
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -144,6 +144,7 @@
 	DryRun      bool
 	Edits       []config.Edit
 	Differences []difference
+	Warnings    []string
 }
 
 func newPublish() *cobra.Command {
@@ -226,7 +227,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	result := published{Base: plan.Base.Number, Version: plan.Base.Number, Digest: plan.Next, DryRun: dryRun, Edits: plan.Edits, Differences: changed}
+	result := published{Base: plan.Base.Number, Version: plan.Base.Number, Digest: plan.Next, DryRun: dryRun, Edits: plan.Edits, Differences: changed, Warnings: plan.Warnings}
 	if err := output.print(w, result, func(w io.Writer) { planTable(w, plan, changed) }); err != nil {
 		return failed(err)
 	}
@@ -272,6 +273,9 @@
 	for _, d := range changed {
 		cells(w, "  "+d.Service, d.Field, absent(d.Before)+" -> "+absent(d.After))
 	}
+	for _, text := range plan.Warnings {
+		cells(w, "Warning: "+text)
+	}
 }
 
 func absent(value string) string {
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -238,6 +238,8 @@
 		return verb(unit) + "at least " + e.Param() + unit
 	case "max", "lte":
 		return verb(unit) + "at most " + e.Param() + unit
+	case "eq":
+		return "must be " + e.Param()
 	case "gt":
 		return "must be greater than " + e.Param()
 	case "oneof":
