--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure slopes
+.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure slopes demo
 
 SEED ?= 1
 RUNS ?= 200
@@ -21,6 +21,9 @@
 mutants:
 	POLLENSCALE_MUTANTS=1 $(GO) test ./internal/mutant -run TestMutants -count=1 -v -timeout 20m
 
+demo: build
+	scripts/demo
+
 fmt:
 	$(GO) run $(GOLANGCI) fmt ./...
 
--- a/core/config/publish_test.go
+++ b/core/config/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -24,7 +25,11 @@
 // withTimeout returns the documents with the deadline of agenda's lookups set,
 // and padding bytes that do not change its meaning.
 func withTimeout(docs config.Documents, service string, ms, padding int) config.Documents {
-	body := fmt.Sprintf(`{"Template":"pages","Parameters":{"LookupTimeout":%d}}%*s`, ms, padding, "")
+	parameters := fmt.Sprintf(`"LookupTimeout":%d`, ms)
+	if service != "agenda" {
+		parameters += `,"DefaultOrganisation":""` // no organisation lists it
+	}
+	body := fmt.Sprintf(`{"Template":"pages","Parameters":{%s}}%*s`, parameters, padding, "")
 	return docs.With(config.Documents{"services/" + service + ".json": []byte(body)})
 }
 
@@ -262,6 +267,10 @@
 	if err != nil || len(docs) == 0 {
 		docs = w.base
 	}
+	if rapid.Bool().Draw(r, "organisation") {
+		body := fmt.Sprintf(`{"Services":{"agenda":{"OrganisationShare":%d}}}`, w.count)
+		return docs.With(config.Documents{"organisations/voces-del-sur.json": []byte(body)})
+	}
 	return withTimeout(docs, service, w.count, padding)
 }
 
@@ -293,16 +302,25 @@
 	}
 }
 
+// plan returns nil when the store does not answer; any other failure is one of
+// the test.
+func (w *world) plan(r *rapid.T, operator string) *config.Plan {
+	plan, err := publisher(w.store, operator).Plan(context.Background(), w.next(r), "")
+	if err != nil && !errors.Is(err, store.ErrUnavailable) {
+		r.Fatalf("plan: %v", err)
+	}
+	return plan
+}
+
 func (w *world) publish(r *rapid.T) {
-	if plan, err := publisher(w.store, "ana").Plan(context.Background(), w.next(r), ""); err == nil {
+	if plan := w.plan(r, "ana"); plan != nil {
 		w.operate(r, plan)
 	}
 }
 
 func (w *world) race(r *rapid.T) {
-	one, err1 := publisher(w.store, "ana").Plan(context.Background(), w.next(r), "")
-	two, err2 := publisher(w.store, "ben").Plan(context.Background(), w.next(r), "")
-	if err1 == nil && err2 == nil {
+	one, two := w.plan(r, "ana"), w.plan(r, "ben")
+	if one != nil && two != nil {
 		w.operate(r, one, two)
 	}
 }
@@ -338,6 +356,15 @@
 	if _, err := h.ApplyUpdate(u); err != nil && !errors.Is(err, config.ErrGap) {
 		r.Fatalf("refused a published version: %v", err)
 	}
+	// The policy in force is rendered in parts; it must equal a whole rendering.
+	have := h.Snapshot()
+	if have.Number == 0 {
+		return
+	}
+	want, err := config.Render(have.Number, have.Documents)
+	if err != nil || !reflect.DeepEqual(h.Current(), want) {
+		r.Fatalf("version %d is not in force as it renders: %v", have.Number, err)
+	}
 }
 
 // restart replaces a daemon during an outage. A daemon keeps no state, so that
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -11,7 +11,6 @@
 	"pollenscale/internal/daemon"
 	"pollenscale/internal/settings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -24,12 +23,6 @@
 	memoryLimit = 36 << 20
 )
 
-// codeError is an error with the exit code that it leads to.
-type codeError struct {
-	error
-	code Code
-}
-
 var levels = map[string]slog.Level{
 	"Debug": slog.LevelDebug,
 	"Info":  slog.LevelInfo,
@@ -84,20 +77,3 @@
 	}
 	debug.SetMemoryLimit(memoryLimit)
 }
-
-// failed marks an error of a command that was understood.
-func failed(err error) error {
-	if err == nil {
-		return nil
-	}
-	return codeError{error: err, code: Failed}
-}
-
-// codeOf returns the exit code for err.
-func codeOf(err error) Code {
-	var e codeError
-	if errors.As(err, &e) {
-		return e.code
-	}
-	return Usage
-}
