internal/daemon, scripts: platform client, operators' port, traces and a demo that passes

Change: the setting PlatformAddress gives the daemon the table service and the object store under a share of the fleet's budget; OperatorAddress serves metrics, readiness and status; TraceEndpoint exports a span per hop; Seeds replaces Peers. The target stand-in keeps the run log that the load reads.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -8,9 +8,12 @@
 	"runtime/debug"
 	"syscall"
 
+	"pollenscale/core/fleet"
 	"pollenscale/internal/daemon"
 	"pollenscale/internal/settings"
+	"pollenscale/io/otlp"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -62,11 +65,22 @@
 	tuneRuntime()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := daemon.New(s, daemon.WithLog(log))
+	stopTraces, err := otlp.Setup(ctx, otlp.Settings{
+		Endpoint:    s.TraceEndpoint,
+		SampleShare: s.TraceShare,
+		Daemon:      s.Daemon,
+		Place:       fleet.Place{Region: s.Region, AvailabilityZone: s.AvailabilityZone},
+		Version:     Version,
+	})
 	if err != nil {
 		return failed(err)
 	}
-	return failed(d.Run(ctx))
+	d, err := daemon.New(s, daemon.WithLog(log), daemon.WithVersion(Version))
+	if err != nil {
+		return failed(err)
+	}
+	err = d.Run(ctx)
+	return failed(errors.CombineErrors(err, stopTraces(context.Background())))
 }
 
 // tuneRuntime sets the garbage collector for a small process with a high rate
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,8 @@
 	Caller   *caller.Server
 	Target   *target.Client
 
+	version string
+	store   *storeClient
 	tables  store.Tables
 	objects store.Objects
 
@@ -71,6 +73,8 @@
 	callerL    net.Listener
 	peerL      net.Listener
 	gossipConn *net.UDPConn
+	operatorL  net.Listener
+	operators  *http.Server
 }
 
 // Option changes a daemon as it is built.
@@ -87,12 +91,21 @@
 	return func(d *Daemon) { d.tables, d.objects = tables, objects }
 }
 
+// WithVersion sets the version that operators see.
+func WithVersion(version string) Option {
+	return func(d *Daemon) { d.version = version }
+}
+
 // New builds a daemon and opens its ports. The daemon does not serve before Run.
 func New(s *settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{Settings: s, Log: slog.Default(), State: &serve.State{}}
 	for _, o := range options {
 		o(d)
 	}
+	if s.PlatformAddress != "" {
+		d.store = newStoreClient(s.PlatformAddress)
+		d.tables, d.objects = d.store.tables(), d.store.Objects()
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -125,9 +138,19 @@
 	if d.gossipConn, err = gossip.Bind(d.gossipAddress()); err != nil {
 		return errors.CombineErrors(err, errors.CombineErrors(d.callerL.Close(), d.peerL.Close()))
 	}
+	if d.Settings.OperatorAddress == "" {
+		return nil
+	}
+	if d.operatorL, err = net.Listen("tcp", d.Settings.OperatorAddress); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "OperatorAddress"), d.closeListeners())
+	}
 	return nil
 }
 
+func (d *Daemon) closeListeners() error {
+	return errors.CombineErrors(d.callerL.Close(), errors.CombineErrors(d.peerL.Close(), d.gossipConn.Close()))
+}
+
 // gossipAddress returns the address of the settings, or a free port beside the
 // peer address.
 func (d *Daemon) gossipAddress() string {
@@ -161,20 +184,12 @@
 // buildState joins configuration and membership.
 func (d *Daemon) buildState() {
 	d.config = newConfiguration(d.Log, d.Settings.Policy, d.Peer, d.tables, d.objects)
-	d.members = newMembers(d.Log, d.Own, d.seeds(), d.gossipConn, d.Peer, d.tables, d.config.heard)
+	d.members = newMembers(d.Log, d.Own, d.Settings.Seeds, d.gossipConn, d.Peer, d.tables, d.config.heard)
 	d.config.spreader.Announce = func(h spread.Head) { d.members.list.SetConfig(uint64(h.Version), h.Digest) }
 	d.config.spreader.Members = d.members.list.Size
 	d.config.spreader.Joined = d.members.list.Joined
 }
 
-func (d *Daemon) seeds() []string {
-	seeds := make([]string, 0, len(d.Settings.Peers))
-	for _, p := range d.Settings.Peers {
-		seeds = append(seeds, p.PeerAddress)
-	}
-	return seeds
-}
-
 func (d *Daemon) buildTargetSide() {
 	d.Attempts = &attempt.Table{Own: d.Own.Incarnation}
 	d.balance = newBalance(d.Own, d.config.current().Service(d.Own.Service))
@@ -256,7 +271,11 @@
 	if d.uploads != nil {
 		d.Caller.Uploads = d.uploads
 	}
+	if d.Settings.TraceEndpoint != "" {
+		d.trace()
+	}
 	d.Caller.Start()
+	d.operators = d.endpoints().Server()
 }
 
 // Load returns the current load of the target.
@@ -295,6 +314,9 @@
 	var g run.Group
 	d.addServer(&g, "peer", func() error { return d.PeerSide.Serve(d.peerL) }, d.PeerSide.Close)
 	d.addServer(&g, "caller", func() error { return d.Caller.Serve(d.callerL) }, d.Caller.Close)
+	if d.operatorL != nil {
+		d.addServer(&g, "operator", func() error { return d.operators.Serve(d.operatorL) }, d.operators.Close)
+	}
 	for _, part := range d.background() {
 		g.Add(func() error { return ended(background, part(background)) }, func(error) { stop() })
 	}
@@ -322,6 +344,9 @@
 	if d.keys != nil {
 		parts = append(parts, d.keys.run, d.uploads.run)
 	}
+	if d.store != nil {
+		parts = append(parts, d.shareStore, d.watchParked)
+	}
 	return parts
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,8 @@
 	"address":    "an IP address and a port, such as 127.0.0.1:8080",
 	"startswith": "a value that starts with %s",
 	"oneof":      "one of %s",
+	"unique":     "different values",
+	"http_url":   "a URL such as http://127.0.0.1:4318/v1/traces",
 	"min":        "at least %s",
 	"max":        "at most %s",
 }
@@ -37,8 +39,8 @@
 	if err := v.Struct(s); err != nil {
 		return explain(err)
 	}
-	if err := checkPeers(s); err != nil {
-		return err
+	if s.Policy == nil {
+		return nil
 	}
 	return checkPolicy(s.Policy)
 }
@@ -77,17 +79,6 @@
 	return text
 }
 
-func checkPeers(s *Settings) error {
-	seen := map[string]bool{}
-	for i, p := range s.Peers {
-		if seen[string(p.Daemon)] {
-			return errors.Newf("Peers[%d].Daemon: value %q is not allowed; expected a name that no other peer has", i, p.Daemon)
-		}
-		seen[string(p.Daemon)] = true
-	}
-	return nil
-}
-
 // checkPolicy checks what the daemon relies on in the policy.
 func checkPolicy(set *policy.Set) error {
 	if len(set.Services) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,10 +25,18 @@
 	GossipAddress   string `validate:"omitempty,address"`
 	OperatorAddress string `validate:"omitempty,address"`
 	Target          Target `validate:"required"`
-	// Peers are the daemons that are known without membership.
-	Peers []Peer `validate:"dive"`
+	// Seeds are peer addresses of daemons through which this one joins the fleet.
+	Seeds []string `validate:"unique,dive,address"`
+	// PlatformAddress serves the table service below /tables and the object
+	// store below /objects. Without it the daemon owns no keys, takes no uploads
+	// and learns configurations from its peers only.
+	PlatformAddress string `validate:"omitempty,address"`
+	// TraceEndpoint is the URL to which spans are exported over OTLP, and
+	// TraceShare the share of calls that are traced. Empty turns tracing off.
+	TraceEndpoint string  `validate:"omitempty,http_url"`
+	TraceShare    float64 `validate:"min=0,max=1"`
 	// Policy is the configuration in force until a published one is known.
-	Policy *policy.Set `validate:"required"`
+	Policy *policy.Set
 	// Drain is the time for callers to leave before connections are closed.
 	Drain policy.Milliseconds `validate:"min=0,max=600000"`
 	// Stop is the time for work under way to complete after that.
@@ -44,15 +52,6 @@
 	HealthPath string        `validate:"omitempty,startswith=/"`
 }
 
-// Peer is another daemon.
-type Peer struct {
-	Daemon           fleet.DaemonID         `validate:"required,max=64,name"`
-	PeerAddress      string                 `validate:"required,address"`
-	Region           fleet.Region           `validate:"required,name"`
-	AvailabilityZone fleet.AvailabilityZone `validate:"required,name"`
-	Service          fleet.Service          `validate:"required,name"`
-}
-
 // The defaults of fields that may be omitted.
 const (
 	defaultDrain      policy.Milliseconds = 4000
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -22,10 +22,7 @@
   "Daemon": "$1", "Region": "scl", "AvailabilityZone": "scl-a",
   "CallerAddress": "127.0.0.1:$2", "PeerAddress": "127.0.0.1:$3",
   "Target": {"Address": "127.0.0.1:$4", "Service": "$5", "Slots": 64},
-  "Peers": [
-    {"Daemon": "one", "PeerAddress": "127.0.0.1:$((port + 1))", "Region": "scl", "AvailabilityZone": "scl-a", "Service": "placement-desk"},
-    {"Daemon": "two", "PeerAddress": "127.0.0.1:$((port + 11))", "Region": "scl", "AvailabilityZone": "scl-a", "Service": "agenda"}
-  ],
+  "Seeds": ["127.0.0.1:$((port + 1))", "127.0.0.1:$((port + 11))"],
   "Policy": {"Version": 1, "Services": {
     "placement-desk": {"Ranks": [{"Name": "lookup", "Worth": 10, "Timeout": 2000}], "DefaultRank": "lookup"},
     "agenda": {"Ranks": [{"Name": "lookup", "Worth": 10, "Timeout": 2000}, {"Name": "upload", "Worth": 1, "Timeout": 60000}],
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -36,11 +36,17 @@
 	HeaderCrash = "Standin-Crash"
 	// HeaderID names the request in the log.
 	HeaderID = "Standin-Id"
+	// HeaderNonce names the request in the run log and comes back in the answer.
+	HeaderNonce = "Nonce"
 )
 
 // logEntries bounds the log; the oldest entries are dropped.
 const logEntries = 100000
 
+// runEntries bounds the run log; later runs are not recorded, since readers
+// rely on its start to stay the same.
+const runEntries = 1000000
+
 // Behaviour is how the target behaves. Lengths are Go durations in JSON as
 // numbers of milliseconds.
 type Behaviour struct {
@@ -83,6 +89,16 @@
 	End string
 }
 
+// Run is one entry of the run log at /runs, which load tests read to count how
+// often a request ran.
+type Run struct {
+	Nonce  string
+	Key    string
+	Method string
+	Path   string
+	Status int
+}
+
 // Target is the stand-in. It is an http.Handler.
 type Target struct {
 	// Crash ends the process or, in tests, closes the listener.
@@ -95,6 +111,7 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	log       []Ran
+	runs      []Run
 	reports   []report
 }
 
@@ -133,7 +150,14 @@
 	return len(t.slots)
 }
 
-// ServeHTTP serves a request, or the endpoints /health, /standin/log and
+// Runs returns the runs that have ended, in the order of their end.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Run{}, t.runs...)
+}
+
+// ServeHTTP serves a request, or the endpoints /health, /runs, /standin/log and
 // /standin/behaviour.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -141,6 +165,8 @@
 		t.serveHealth(w)
 	case "/standin/log":
 		t.writeJSON(w, t.Log())
+	case "/runs":
+		t.writeJSON(w, t.Runs())
 	case "/standin/behaviour":
 		t.serveBehaviour(w, r)
 	default:
@@ -195,9 +221,12 @@
 	entry := t.begin(r)
 	if r.Header.Get(HeaderCrash) != "" {
 		t.end(entry, "Crashed", 0)
+		t.record(r, 0)
 		t.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	status := 0
+	defer func() { t.record(r, status) }()
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		t.end(entry, "CutOff", size)
@@ -215,6 +244,23 @@
 		panic(http.ErrAbortHandler)
 	}
 	t.end(entry, "Done", size)
+	status = http.StatusOK
+}
+
+// record adds a run that has ended to the run log.
+func (t *Target) record(r *http.Request, status int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.runs) >= runEntries {
+		return
+	}
+	t.runs = append(t.runs, Run{
+		Nonce:  r.Header.Get(HeaderNonce),
+		Key:    r.Header.Get("Idempotency-Key"),
+		Method: r.Method,
+		Path:   r.URL.Path,
+		Status: status,
+	})
 }
 
 // work takes the service time. It returns false when the request was cancelled
@@ -270,6 +316,9 @@
 		size = int64(len(text))
 	}
 	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	if nonce := r.Header.Get(HeaderNonce); nonce != "" {
+		w.Header().Set(HeaderNonce, nonce)
+	}
 	cut, err := strconv.ParseInt(r.Header.Get(HeaderCutAfter), 10, 64)
 	if err != nil {
 		cut = size
