--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -91,8 +91,7 @@
 	t.Helper()
 	var set policy.Set
 	loadJSON(t, "policy.json", &set)
-	var err error
-	m.Daemon, err = New(&settings.Settings{
+	s := &settings.Settings{
 		Daemon:        id,
 		CallerAddress: callers,
 		PeerAddress:   peers,
@@ -100,8 +99,14 @@
 		Policy:        &set,
 		Drain:         600,
 		Stop:          5000,
-	}, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
-	is.New(t).NoErr(err)
+	}
+	// While a daemon restarts, its port may be in use for a moment as the local
+	// port of a connection of another process.
+	eventually(t, 10*time.Second, func() bool {
+		var err error
+		m.Daemon, err = New(s, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+		return err == nil
+	})
 }
 
 // restart replaces the daemon of m by a new process on the same ports, which
