--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -57,14 +57,16 @@
 
 // Request describes what is to be sent.
 type Request struct {
-	Service  fleet.Service
-	Deadline time.Time
+	Service fleet.Service
 	// Urgent requests are compared by the wait of the most urgent rank.
 	Urgent bool
 	// Tried are the targets that refused the request, in order.
 	Tried []fleet.DaemonID
 	// Hint is a target that a refusal named, if any.
 	Hint fleet.DaemonID
+	// Final asks for a target at which to queue, as when the budget for
+	// redirects is used up.
+	Final bool
 }
 
 // Choice is a picked target. The caller ends it with Done.
@@ -214,10 +216,10 @@
 		return Choice{}, errNoTarget
 	}
 	now := c.Now()
-	if n := c.hinted(r); n != nil {
+	if n := c.hinted(r); n != nil && !r.Final {
 		return n.send(now.Add(c.delay(n.tier))), nil
 	}
-	if len(r.Tried) < c.tries {
+	if len(r.Tried) < c.tries && !r.Final {
 		if n := c.sample(g, r, now); n != nil {
 			return n.send(now.Add(c.delay(n.tier) + n.part(patience/float64(n.slots.Load())))), nil
 		}
--- a/core/choice/choice_test.go
+++ b/core/choice/choice_test.go
@@ -30,6 +30,7 @@
 		Fail    fleet.DaemonID
 		Tried   []fleet.DaemonID
 		Hint    fleet.DaemonID
+		Final   bool
 		// Want is the least and the greatest number of picks of 1,000 by target.
 		Want map[fleet.DaemonID][2]int
 		// WantQueues says that the pick may queue at the target.
@@ -48,7 +49,7 @@
 			}
 			got := map[fleet.DaemonID]int{}
 			for range 1000 {
-				picked, err := chooser.Pick(choice.Request{Service: "agenda", Tried: c.Tried, Hint: c.Hint})
+				picked, err := chooser.Pick(choice.Request{Service: "agenda", Tried: c.Tried, Hint: c.Hint, Final: c.Final})
 				if err != nil {
 					var refused *outcome.Error
 					is.True(errors.As(err, &refused))
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -143,13 +143,17 @@
 	return slices.Concat(parts...), nil
 }
 
-// Write writes the results as a JSON list.
+// Write writes the results as a JSON list, one result a line.
 func Write(path string, list []Result) error {
-	data, err := json.MarshalIndent(list, "", " ")
-	if err != nil {
-		return err
+	lines := make([]string, len(list))
+	for i, r := range list {
+		data, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		lines[i] = string(data)
 	}
-	return os.WriteFile(path, append(data, '\n'), 0o600)
+	return os.WriteFile(path, []byte("[\n"+strings.Join(lines, ",\n")+"\n]\n"), 0o600)
 }
 
 // Print prints a table by case and policy, with the median of each figure and
