--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -228,6 +228,7 @@
 	t.accepted = later(t.accepted, stamp)
 	invariant.Check(stamp.After(grant.After) && !stamp.After(grant.Expiry.Add(lease.StampAhead)),
 		"KeyWithinGrant", "%s: stamp %s outside of %s to %s", t.Slot, stamp, grant.After, grant.Expiry)
+	invariant.Check(!t.left, "NoKeyAfterDrain", "%s: accepts stamp %s after it was drained", t.Slot, stamp)
 	t.open++
 	return &Claim{table: t, entry: e, grant: grant}, nil, nil
 }
@@ -298,6 +299,7 @@
 	if !raiseFloor.Off() {
 		t.raise(e.stamp)
 	}
+	invariant.Check(!e.stamp.After(t.floor), "ForgottenBelowFloor", "%s: forgets stamp %s above %s", t.Slot, e.stamp, t.floor)
 }
 
 // forget removes a key. A claim on it stays valid.
--- a/core/idempotency/recorded.go
+++ b/core/idempotency/recorded.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"pollenscale/core/invariant"
 	"pollenscale/core/lease"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
@@ -129,6 +130,8 @@
 func (t *Table) claimed(e *entry, grant lease.Grant, version store.Version) *Claim {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	invariant.Check(version > e.version && e.state == stateRunning, "ClaimHasRow",
+		"%s: claim of a %s key on version %d after %d", t.Slot, e.state, version, e.version)
 	e.version = version
 	return &Claim{table: t, entry: e, grant: grant}
 }
--- a/core/lease/acquire.go
+++ b/core/lease/acquire.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"pollenscale/core/invariant"
 	"pollenscale/core/store"
 )
 
@@ -14,6 +15,7 @@
 	row    store.Row
 	before record
 	after  time.Time
+	at     time.Time // store time of the read
 }
 
 // Acquire takes up to two of the vacant leases that are free in the store. It
@@ -83,7 +85,7 @@
 	if err != nil {
 		return candidate{}, false, err
 	}
-	c := candidate{name: name, row: row, before: rec, after: rec.acceptedBefore()}
+	c := candidate{name: name, row: row, before: rec, after: rec.acceptedBefore(), at: at}
 	if h.own(rec, rec.Token) {
 		// An acquisition without an answer took effect. Nothing was accepted
 		// under its token, so that the stamps before it are still the bound.
@@ -127,6 +129,8 @@
 	var t store.Transaction
 	recs := make([]record, len(free))
 	for i, c := range free {
+		invariant.Check(c.before.Token == 0 || c.before.Released || !c.at.Before(c.before.Expiry) || h.own(c.before, c.before.Token),
+			"LeaseTakenAfterExpiry", "%s: taken at %s, held by %s until %s", c.name, c.at, c.before.Holder, c.before.Expiry)
 		recs[i] = record{
 			Holder:      h.Self,
 			Incarnation: h.Incarnation,
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -347,6 +347,7 @@
 		evict(list, now)
 	}
 	list[f] = until
+	invariant.Check(len(list) <= l.MaxEntries, "PoisonListBounded", "%d entries of at most %d", len(list), l.MaxEntries)
 }
 
 // evict drops all entries whose time is over, or the one that ends first.
--- a/core/upload/courier.go
+++ b/core/upload/courier.go
@@ -162,6 +162,7 @@
 			return again, err
 		}
 	}
+	checkRepeatable(record)
 	attempt, ok := c.Open()
 	if !ok {
 		return false, nil
@@ -239,6 +240,7 @@
 	case running:
 		return record, row, false, nil
 	case o == outcome.NotRun, record.Request.Idempotent, parkUnknown.Off():
+		record.State, record.Outcome = Accepted, o
 		return record, row, true, nil
 	}
 	record.Outcome = o
@@ -256,6 +258,7 @@
 			record.Detail = "the body is missing"
 			return c.park(ctx, row, record)
 		}
+		record.Outcome = outcome.NotRun
 		return c.putBack(ctx, row, record, now)
 	}
 	status, err := c.Deliver(ctx, record.Attempt, record, body)
@@ -316,12 +319,20 @@
 // putBack returns an upload whose delivery did not run, or may be repeated.
 func (c *Courier) putBack(ctx context.Context, row store.Row, record Record, now time.Time) error {
 	record.State = Accepted
+	checkRepeatable(record)
 	record.NotBefore = now.Add(min(failFirst<<min(record.Failures, 10), failMost))
 	record.Failures++
 	_, _, err := c.move(ctx, row, record, PendingTable)
 	return err
 }
 
+// checkRepeatable asserts that another delivery cannot run the upload twice.
+func checkRepeatable(r Record) {
+	settled := r.Outcome == "" || r.Outcome == outcome.NotRun
+	invariant.Check(r.State == Accepted && (settled || r.Request.Idempotent), "UploadRepeatedSafely",
+		"%s: delivered again in state %s after outcome %s", r.ID, r.State, r.Outcome)
+}
+
 // move writes the record to a table and removes it from the pending ones,
 // conditional on the version of its row. A write without an answer is sent
 // again until ctx ends. It reports false if another daemon was faster.
