--- a/internal/daemon/balance.go
+++ b/internal/daemon/balance.go
@@ -83,11 +83,10 @@
 func (b *balance) choose(_ context.Context, c dispatch.Choice) (fleet.Target, error) {
 	_, position, _ := c.Policy.Rank(c.Request.Rank)
 	picked, err := b.chooser.Pick(choice.Request{
-		Service:  c.Request.Service,
-		Deadline: c.Request.Deadline,
-		Urgent:   position == 0,
-		Tried:    c.Tried,
-		Hint:     c.Hint,
+		Service: c.Request.Service,
+		Urgent:  position == 0,
+		Tried:   c.Tried,
+		Hint:    c.Hint,
 	})
 	if err != nil {
 		return fleet.Target{}, err
