--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -15,7 +15,9 @@
 	if d.keys != nil {
 		// First, so that the next owners are known before this daemon ends.
 		d.keys.release(ctx)
-		d.uploads.courier.Drain(ctx)
+		if err := d.uploads.courier.Drain(ctx); err != nil {
+			d.Log.Warn("upload: the delivery under way did not complete.", "error", err)
+		}
 	}
 	// Entries and callers learn of the drain from probes and answers. Requests
 	// that arrive until then are still served or refused as not run.
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -147,8 +147,8 @@
 
 // redirect makes the first daemon send attempts for a target to an address.
 func (f *testFleet) redirect(id fleet.DaemonID, address string) {
-	balance := f.nodes[0].Daemon.balance
-	f.nodes[0].Daemon.members.setChanged(func(targets []fleet.Target) {
+	balance := f.nodes[0].balance
+	f.nodes[0].members.setChanged(func(targets []fleet.Target) {
 		for i := range targets {
 			if targets[i].Daemon == id {
 				targets[i].PeerAddress = address
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -80,7 +80,7 @@
 func (f *testFleet) introduce(m *node) {
 	for _, other := range f.nodes {
 		if other != m {
-			m.Daemon.members.joiner.Seeds = append(m.Daemon.members.joiner.Seeds, other.Own.PeerAddress)
+			m.members.joiner.Seeds = append(m.members.joiner.Seeds, other.Own.PeerAddress)
 		}
 	}
 }
@@ -163,7 +163,7 @@
 	t.Helper()
 	for _, m := range f.nodes {
 		for _, other := range f.nodes {
-			m.Daemon.members.need(other.Own.Service)
+			m.members.need(other.Own.Service)
 		}
 	}
 	eventually(t, 3*time.Second, func() bool {
@@ -178,12 +178,12 @@
 
 // knows reports whether the daemon knows that all of n targets take work.
 func (m *node) knows(n int) bool {
-	for _, r := range m.Daemon.members.list.All() {
+	for _, r := range m.members.list.All() {
 		if !r.State.TakesWork() || r.Slots == 0 {
 			return false
 		}
 	}
-	return m.Daemon.members.list.Size() == n
+	return m.members.list.Size() == n
 }
 
 func eventually(t testing.TB, within time.Duration, f func() bool) {
--- a/internal/daemon/keys_test.go
+++ b/internal/daemon/keys_test.go
@@ -113,10 +113,10 @@
 	t.Helper()
 	name := idempotency.LeaseName("agenda", idempotency.Key{Value: key}.Slot())
 	for _, n := range r.fleet.nodes {
-		if n.Daemon.keys == nil {
+		if n.keys == nil {
 			continue
 		}
-		if _, held := n.Daemon.keys.holder.Held(name); held {
+		if _, held := n.keys.holder.Held(name); held {
 			n.stop()
 			<-n.stopped
 			return
@@ -135,13 +135,13 @@
 		for slot := range idempotency.Slots {
 			name := idempotency.LeaseName("agenda", slot)
 			row, _, _ := r.store.Tables().Read(context.Background(), lease.LeaseTable, string(name))
-			owner, token, ok := r.fleet.nodes[node].Daemon.members.ownerOf("agenda", name)
+			owner, token, ok := r.fleet.nodes[node].members.ownerOf("agenda", name)
 			t.Logf("%s: row %s, known owner %s %d %v", name, row.Value, owner.Daemon, token, ok)
 		}
 	})
 	eventually(t, 6*time.Second, func() bool {
 		for slot := range idempotency.Slots {
-			if _, _, ok := r.fleet.nodes[node].Daemon.members.ownerOf("agenda", idempotency.LeaseName("agenda", slot)); !ok {
+			if _, _, ok := r.fleet.nodes[node].members.ownerOf("agenda", idempotency.LeaseName("agenda", slot)); !ok {
 				return false
 			}
 		}
