internal/daemon: keep bodies to other regions and probes within their budgets

core/link and core/probe were measured but not used by the daemon. Request bodies that leave the region now take this daemon's share of the pair's budget beyond their first part, and probes of the target are answered within the share of its requests. Answers that cross regions are not paced yet.

--- a/core/call/body.go
+++ b/core/call/body.go
@@ -29,6 +29,7 @@
 	generation int
 	// passed is set once a reader went beyond head.
 	passed bool
+	pace   func(int) error
 }
 
 // NewBody returns a body that reads from source, of the given length or -1.
@@ -86,6 +87,15 @@
 	b.err = err
 }
 
+// Pace sets a function that is called with the size of each part read beyond
+// the head, before the part is passed on. It may wait. An error ends the body.
+// It must be called before Rest is read from; nil removes it.
+func (b *Body) Pace(f func(n int) error) {
+	if b != nil {
+		b.pace = f
+	}
+}
+
 // Rest returns a reader of what follows Head. Once it has been read from, the
 // body cannot be sent again.
 func (b *Body) Rest() io.Reader {
@@ -148,7 +158,13 @@
 	if !r.pass() {
 		return 0, errSuperseded
 	}
-	return r.body.source.Read(p)
+	n, err := r.body.source.Read(p)
+	if n > 0 && r.body.pace != nil {
+		if err := r.body.pace(n); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
 }
 
 // pass notes that the body is read beyond its head, unless a later attempt has
--- a/internal/daemon/balance.go
+++ b/internal/daemon/balance.go
@@ -14,6 +14,7 @@
 	"pollenscale/core/limit"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
+	"pollenscale/core/probe"
 	"pollenscale/core/retry"
 	"pollenscale/core/serve"
 )
@@ -28,6 +29,8 @@
 	chooser *choice.Chooser
 	queue   *admit.Queue
 	limit   *limit.Limit
+	// gate bounds the probes of the target.
+	gate *probe.Gate
 
 	mu      sync.Mutex
 	budgets map[fleet.Service]*retry.Budget
@@ -47,6 +50,7 @@
 		chooser: choice.New(own.Place),
 		limit:   l,
 		queue:   admit.New(service, l),
+		gate:    probe.NewGate(service.ProbeShare, time.Now()),
 		budgets: map[fleet.Service]*retry.Budget{},
 		state:   fleet.Cold,
 	}
@@ -151,6 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.gate.Served()
 	return func(e serve.Ended) { release(ticket, e) }, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	objects store.Objects
 
 	balance  *balance
+	links    *links
 	crashes  *crashes
 	keys     *keys
 	uploads  *uploads
@@ -193,8 +194,12 @@
 func (d *Daemon) buildTargetSide() {
 	d.Attempts = &attempt.Table{Own: d.Own.Incarnation}
 	d.balance = newBalance(d.Own, d.config.current().Service(d.Own.Service))
-	d.config.holder.OnChange = func(set *policy.Set) { d.balance.setPolicy(set, d.Own.Service) }
+	d.config.holder.OnChange = func(set *policy.Set) {
+		d.balance.setPolicy(set, d.Own.Service)
+		d.links.reset()
+	}
 	d.members.setChanged(d.balance.chooser.SetTargets)
+	d.links = newLinks(d.Own.Place.Region, d.config.current, d.members.colocated)
 	d.crashes = newCrashes(d.Log, d.Own)
 	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
 	d.crashes.report = d.reportCrash
@@ -262,6 +267,7 @@
 		Invoke:          d.Serve.Invoke,
 		Settle:          d.Attempts.Settle,
 		Load:            d.Load,
+		MayProbe:        func() bool { return d.balance.gate.Allow(time.Now()) },
 		ReportCrash:     d.crashes.receive,
 		ExchangeMembers: d.members.answer,
 		FetchConfig:     d.config.answer,
@@ -292,6 +298,7 @@
 // daemon.
 func (d *Daemon) send(ctx context.Context, t fleet.Target, ref attempt.Ref, r *call.Request) (*call.Answer, error) {
 	if t.Daemon != d.Own.Daemon {
+		d.links.pace(ctx, t, r)
 		return d.Peer.Send(ctx, t, ref, r)
 	}
 	own := *r
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -150,6 +150,17 @@
 	return owner, lease.Token(highest), highest > 0
 }
 
+// colocated returns the number of daemons in the own region, this one included.
+func (m *members) colocated() int {
+	n := 1
+	for _, r := range m.list.All() {
+		if r.Place.Region == m.own.Place.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // others returns the other daemons of a service.
 func (m *members) others(service fleet.Service) []fleet.Target {
 	records := m.list.Members(service)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -32,6 +32,9 @@
 	// Load returns the current load of the target.
 	Load func() fleet.Load
 
+	// MayProbe reports whether a probe is within the budget; nil allows all.
+	MayProbe func() bool
+
 	ExchangeMembers func(context.Context, *peerpb.ExchangeMembersRequest) (*peerpb.ExchangeMembersResponse, error)
 	FetchConfig     func(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error)
 	ReportCrash     func(context.Context, *peerpb.ReportCrashRequest) (*peerpb.ReportCrashResponse, error)
@@ -119,6 +122,9 @@
 
 // Probe returns the load of the target.
 func (h handler) Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	if h.s.MayProbe != nil && !h.s.MayProbe() {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("the probe budget of the target is used up"))
+	}
 	return connect.NewResponse(&peerpb.ProbeResponse{Load: packLoad(h.s.Load())}), nil
 }
 
