--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,13 @@
 build:
 	$(GO) build -o bin/ ./...
 
+# Packages whose state is shared by several threads, tested with the race detector.
+RACE := ./core/admit ./core/attempt ./core/choice ./core/config ./core/dispatch ./core/idempotency \
+	./core/lease ./core/limit ./core/poison ./core/retry ./core/upload ./internal/daemon ./io/...
+
 test: build
 	$(GO) test ./...
+	$(GO) test -race $(RACE)
 
 # Long randomised run of the promises; prints the seed of a failure.
 prove:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -42,3 +42,15 @@
 		})
 	}
 }
+
+// TestSamples guards against samples of the deployments that the daemon refuses.
+func TestSamples(t *testing.T) {
+	for _, deployment := range []string{"puente", "merrimack"} {
+		t.Run(deployment, func(t *testing.T) {
+			is := is.New(t)
+			s, err := settings.Read("../../deploy/" + deployment + "/settings.json")
+			is.NoErr(err)
+			is.True(s.PlatformAddress != "")
+		})
+	}
+}
