--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -280,7 +280,9 @@
 			}
 			h := lease.New(tables, fleet.DaemonID(strconv.Itoa(i)), 1, lease.WithRandom(chance),
 				lease.WithVacant(vacant), lease.WithFleetSize(func() int { return daemons }))
+			mu.Lock()
 			holders = append(holders, h)
+			mu.Unlock()
 			group.Go(func() error { return h.Run(ctx) })
 		}
 		group.Go(func() error {
--- a/core/upload/upload_test.go
+++ b/core/upload/upload_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,7 @@
 // bench is a store, some couriers and one target for all of them, whose daemon
 // keeps the states of attempts.
 type bench struct {
+	mu       sync.Mutex // held in the functions that couriers call
 	ctx      context.Context
 	store    *memstore.Store
 	couriers map[string]*upload.Courier
@@ -57,12 +59,16 @@
 	c := upload.New(b.store.Tables(), b.store.Objects(), "material", fleet.DaemonID(name), 1,
 		upload.WithRandom(func() float64 { return 0 }),
 		upload.WithNewUUID(func() string {
+			b.mu.Lock()
+			defer b.mu.Unlock()
 			b.sequence++
 			return fmt.Sprintf("%06d", b.sequence)
 		}))
 	c.Log = slog.New(slog.DiscardHandler)
 	c.Room = func() bool { return true }
 	c.Open = func() (upload.Attempt, bool) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		b.sequence++
 		b.last = upload.Attempt{Daemon: fleet.DaemonID(name), Incarnation: 1, Sequence: b.sequence, Target: "t", TargetIncarnation: b.epoch}
 		return b.last, true
@@ -72,9 +78,15 @@
 		if err != nil || fleet.Bytes(len(data)) != r.Size {
 			return 0, outcome.New(outcome.NotRun, outcome.BadRequest, "cut off")
 		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		return b.deliver(name, a, r)
 	}
-	c.Settle = func(_ context.Context, a upload.Attempt) (outcome.Outcome, bool, error) { return b.settle(a) }
+	c.Settle = func(_ context.Context, a upload.Attempt) (outcome.Outcome, bool, error) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.settle(a)
+	}
 	b.couriers[name] = c
 	return c
 }
