io/caller: answer callers that stall in the body

A caller that stopped within the first 32 KB of a body got no answer: the read deadline was lifted after it had passed, and net/http waits for the rest of the body before it answers. The deadline now stays after a failure.

--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -46,6 +49,39 @@
 	})
 }
 
+// TestStalledCaller guards against callers that stop in the middle of a request
+// body and get no answer, or occupy the target beyond their deadline.
+func TestStalledCaller(t *testing.T) {
+	var cases []struct {
+		Name, WantOutcome string
+		Bytes, Sent       int
+		WantStatus        int
+		WantRan           int
+	}
+	loadJSON(t, "stalled.json", &cases)
+	f := startFleet(t, "desk", "agenda")
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", f.members[0].CallerAddress())
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(2 * time.Second)))
+			_, err = fmt.Fprintf(conn, "PUT / HTTP/1.1\r\nHost: x\r\nPollenscale-Service: agenda\r\nStandin-Id: %s\r\n"+
+				"Pollenscale-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s", c.Name,
+				time.Now().Add(400*time.Millisecond).Format(time.RFC3339Nano), c.Bytes, strings.Repeat("x", c.Sent))
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err) // an answer must arrive soon after the deadline
+			defer response.Body.Close()
+			is.Equal(response.StatusCode, c.WantStatus)
+			is.Equal(response.Header.Get("Pollenscale-Outcome"), c.WantOutcome)
+			is.Equal(len(f.ran(c.Name)), c.WantRan)
+			eventually(t, time.Second, func() bool { return f.members[1].Serve.UnderWay() == 0 })
+		})
+	}
+}
+
 func (c requestCase) run(t *testing.T, f *testFleet) {
 	is := is.New(t)
 	response, body, err := c.send(t, f)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -228,9 +228,14 @@
 		return 0, err
 	}
 	n, err := p.body.Read(b)
-	if err != nil {
-		_ = p.control.SetReadDeadline(time.Time{})
+	if errors.Is(err, io.EOF) {
+		if err := p.control.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+		return n, io.EOF
 	}
+	// After a failure the deadline stays: the server reads on to the end of the
+	// body before it answers, and would wait for a caller that has stalled.
 	return n, err
 }
 
