--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -53,10 +53,10 @@
 // body and get no answer, or occupy the target beyond their deadline.
 func TestStalledCaller(t *testing.T) {
 	var cases []struct {
-		Name, WantOutcome string
-		Bytes, Sent       int
-		WantStatus        int
-		WantRan           int
+		Name, Rank, WantOutcome string
+		Bytes, Sent             int
+		WantStatus              int
+		WantRan                 int
 	}
 	loadJSON(t, "stalled.json", &cases)
 	f := startFleet(t, "desk", "agenda")
@@ -68,7 +68,7 @@
 			defer conn.Close()
 			is.NoErr(conn.SetDeadline(time.Now().Add(2 * time.Second)))
 			_, err = fmt.Fprintf(conn, "PUT / HTTP/1.1\r\nHost: x\r\nPollenscale-Service: agenda\r\nStandin-Id: %s\r\n"+
-				"Pollenscale-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s", c.Name,
+				"Pollenscale-Rank: %s\r\nPollenscale-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s", c.Name, c.Rank,
 				time.Now().Add(400*time.Millisecond).Format(time.RFC3339Nano), c.Bytes, strings.Repeat("x", c.Sent))
 			is.NoErr(err)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -28,6 +28,9 @@
 	maxHeaderBytes = 64 << 10
 	// stallTimeout bounds the wait for the next part of a request body.
 	stallTimeout = 10 * time.Second
+	// refusedTimeout bounds the wait for the rest of the body of a refused
+	// request.
+	refusedTimeout = 500 * time.Millisecond
 	// maxStreams bounds the requests that a caller may have open on one
 	// connection.
 	maxStreams       = 1000
@@ -101,17 +104,28 @@
 	}
 	r, err := parse(request, time.Now())
 	if err != nil {
-		return fail(w, err)
+		return s.refuse(w, request, err)
 	}
 	s.attachBody(w, request, r)
 	answer, err := s.Do(request.Context(), r)
 	if err != nil {
-		return fail(w, err)
+		return s.refuse(w, request, err)
 	}
 	s.write(w, answer)
 	return nil
 }
 
+// refuse answers with a problem. The server reads the rest of a short body
+// before it answers, for which the caller has a bounded time.
+func (s *Server) refuse(w http.ResponseWriter, request *http.Request, err error) error {
+	if request.ContentLength != 0 {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedTimeout)); err != nil {
+			s.Log.Debug("caller: no read deadline.", "error", err)
+		}
+	}
+	return fail(w, err)
+}
+
 // attachBody gives the request its body. Each read of it must make progress.
 func (s *Server) attachBody(w http.ResponseWriter, request *http.Request, r *call.Request) {
 	if request.ContentLength == 0 {
