internal/measure: floods over six targets with choice and redirects

The patience of an attempt rises from 1 to 1.5 mean gaps between free slots, so that the first in the queue is accepted whatever the rounding.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -31,8 +31,9 @@
 	// the same targets for reasons that are noise.
 	margin = 0.5
 	// patience is the wait that an attempt accepts at a target instead of a
-	// redirect, in mean times between two free slots.
-	patience = 1
+	// redirect, in mean times between two free slots. With 1 it would depend on
+	// rounding whether the first in the queue is accepted.
+	patience = 1.5
 	// DefaultTries is the number of attempts that must find a free slot before
 	// an attempt queues.
 	DefaultTries = 5
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -40,6 +40,9 @@
 	onProbe    func(*call, *choice.Chooser)
 	onServed   func(*target)
 	links      []*link.Budgets // by caller
+	// refused reports whether the budget allows a redirect; nil means always.
+	refused  func(*call, *outcome.Error) bool
+	finished func(*call, time.Duration)
 
 	sent      int
 	redirects int
@@ -60,6 +63,10 @@
 	arrived time.Time
 	started time.Time
 	failed  bool
+	final   bool // the budget for redirects is used up
+	class   *class
+	urgent  bool
+	request admit.Request // rank and deadline, if any
 	work    time.Duration
 	tried   []fleet.DaemonID
 }
@@ -95,6 +102,9 @@
 	if c.arrived.Sub(time.Unix(0, 0)) < f.warmUp {
 		return
 	}
+	if f.finished != nil {
+		f.finished(c, f.loop.now.Add(back).Sub(c.arrived))
+	}
 	if c.failed {
 		f.failures++
 	} else {
@@ -267,7 +277,7 @@
 // another one when its daemon refuses.
 func (c *call) attempt(chooser *choice.Chooser, byID map[fleet.DaemonID]*target) {
 	l := c.field.loop
-	picked, err := chooser.Pick(choice.Request{Service: service, Tried: c.tried})
+	picked, err := chooser.Pick(choice.Request{Service: service, Tried: c.tried, Urgent: c.urgent, Final: c.final})
 	if err != nil {
 		panic(err)
 	}
@@ -276,7 +286,9 @@
 	delay := c.field.delay(c.place, t.place)
 	l.after(delay, func() {
 		var ticket *admit.Ticket
-		submit(t, admit.Request{StartBy: picked.StartBy}, &ticket, func(err *outcome.Error) {
+		request := c.request
+		request.StartBy = picked.StartBy
+		submit(t, request, &ticket, func(err *outcome.Error) {
 			if err == nil {
 				t.run(ticket, c, func() {
 					c.finish(delay)
@@ -297,7 +309,9 @@
 				chooser.Observe(hint)
 				chooser.Done(picked, choice.Result{Refused: true})
 				c.tried = append(c.tried, t.id)
-				if len(c.tried) >= maxAttempts {
+				c.final = c.field.refused != nil && !c.field.refused(c, err)
+				last := picked.StartBy.IsZero() && c.class != nil
+				if last || len(c.tried) >= maxAttempts {
 					c.failed = true
 					c.finish(0)
 					return
--- a/internal/measure/goals.go
+++ b/internal/measure/goals.go
@@ -37,7 +37,7 @@
 			list = append(list, choiceGoals(t, c.name())...)
 		}
 	}
-	for _, part := range []func(*tables) []goal{pickGoals, probeGoals, lowFloodGoals, urgentFloodGoals, organisationGoals, chainGoals, otherGoals} {
+	for _, part := range []func(*tables) []goal{pickGoals, probeGoals, lowFloodGoals, urgentFloodGoals, fleetFloodGoals, organisationGoals, chainGoals, otherGoals} {
 		list = append(list, part(t)...)
 	}
 	return list
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -40,6 +40,7 @@
 	list = append(list, choiceJobs()...)
 	list = append(list, probeJobs()...)
 	list = append(list, floodJobs()...)
+	list = append(list, fleetFloodJobs()...)
 	list = append(list, otherJobs()...)
 	return list
 }
