--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -25,8 +25,8 @@
 const (
 	// meanWeight is the weight of one request in the smoothed service time.
 	meanWeight = 1.0 / 32
-	// shareWeight is the weight of one mean request in the ranks' shares of slot
-	// time. A target with 9 slots and requests of 20 ms makes 16 starts in 36 ms.
+	// shareWeight is the weight of one start in the ranks' shares of starts. A
+	// target with 9 slots and requests of 20 ms makes 16 starts in 36 ms.
 	shareWeight = 1.0 / 16
 	// maxCredit bounds the floor credit of a rank, in requests, so that an idle
 	// rank saves up no burst.
@@ -275,21 +275,11 @@
 		t.charged = q.mean
 	}
 	q.charge(t, t.charged)
-	q.weigh(t)
-	q.decided = append(q.decided, decision{ticket: t})
-}
-
-// weigh moves the shares of recent slot time. A start counts by its expected slot
-// time, since many short requests leave more than their number suggests.
-func (q *Queue) weigh(t *Ticket) {
-	weight := shareWeight
-	if q.mean > 0 {
-		weight = min(shareWeight*t.charged/q.mean, 0.5)
-	}
 	for _, k := range q.ranks {
-		k.share -= k.share * weight
+		k.share -= k.share * shareWeight
 	}
-	t.rank.share += weight
+	t.rank.share += shareWeight
+	q.decided = append(q.decided, decision{ticket: t})
 }
 
 // charge accounts slot time in seconds to the rank of t and credits each rank
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -17,7 +17,7 @@
 	worth  float64
 	floor  float64
 	credit float64 // floor credit in seconds of slot time
-	share  float64 // share of recent slot time
+	share  float64 // share of recent starts
 	mean   float64 // smoothed service time in seconds
 	spread float64 // mean deviation of the service time in seconds
 	queued int
