--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -27,6 +27,11 @@
 	// redirectsPerRequest is the mean number of redirects that the budget
 	// allows. At 80% load a request needs about 0.5.
 	redirectsPerRequest = 2
+	// initialRedirects lets a fresh budget make redirects of all ranks.
+	initialRedirects = 200
+	// rankReserve is the number of redirects that each rank leaves to the ranks
+	// above it, so that a flood of one rank does not use up those of the others.
+	rankReserve = 20
 	// maxRedirects bounds the redirects of one request.
 	maxRedirects = 16
 )
@@ -38,6 +43,8 @@
 	Idempotent bool
 	// Number counts the attempts of the request that reached a target, from 1.
 	Number int
+	// Position is the place of the request's rank, 0 being the most urgent.
+	Position int
 	// Redirects counts refusals by daemons so far.
 	Redirects int
 	// Nested is set when the request is part of a retry at a higher level, or
@@ -59,7 +66,7 @@
 
 // New returns a budget with the shares of p.
 func New(p policy.Retry) *Budget {
-	return &Budget{policy: p, tokens: initial, redirects: redirectsPerRequest * 10}
+	return &Budget{policy: p, tokens: initial, redirects: initialRedirects}
 }
 
 // SetPolicy replaces the shares.
@@ -120,7 +127,7 @@
 func (b *Budget) allowRedirect(a Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.Redirects >= maxRedirects || b.redirects < 1 {
+	if a.Redirects >= maxRedirects || b.redirects < 1+float64(a.Position)*rankReserve {
 		return false
 	}
 	b.redirects--
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+// TestRedirectsByRank guards against a flood of a low rank that uses up the
+// redirects of the ranks above.
+func TestRedirectsByRank(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(policy.Retry{})
+	low := retry.Attempt{Outcome: outcome.NotRun, Reason: outcome.Overloaded, Position: 3}
+	for b.Allow(low) {
+		continue
+	}
+	high := low
+	high.Position = 2
+	is.True(b.Allow(high))
+}
+
 // TestHedges guards against hedged requests beyond their share.
 func TestHedges(t *testing.T) {
 	is := is.New(t)
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -57,18 +57,19 @@
 
 // call is one request under way.
 type call struct {
-	field   *field
-	caller  int
-	place   fleet.Place
-	arrived time.Time
-	started time.Time
-	failed  bool
-	final   bool // the budget for redirects is used up
-	class   *class
-	urgent  bool
-	request admit.Request // rank and deadline, if any
-	work    time.Duration
-	tried   []fleet.DaemonID
+	field    *field
+	caller   int
+	place    fleet.Place
+	arrived  time.Time
+	started  time.Time
+	failed   bool
+	final    bool // the budget for redirects is used up
+	class    *class
+	urgent   bool
+	position int           // of the rank
+	request  admit.Request // rank and deadline, if any
+	work     time.Duration
+	tried    []fleet.DaemonID
 }
 
 // balancer is a policy under measurement: send sees to it that the call runs
--- a/internal/measure/fleetflood.go
+++ b/internal/measure/fleetflood.go
@@ -61,7 +61,7 @@
 	}
 	f.refused = func(c *call, err *outcome.Error) bool {
 		return budgets[c.caller].Allow(retry.Attempt{
-			Outcome: err.Outcome, Reason: err.Reason, Number: 1, Redirects: len(c.tried) - 1,
+			Outcome: err.Outcome, Reason: err.Reason, Number: 1, Redirects: len(c.tried) - 1, Position: c.position,
 		})
 	}
 	send := pollenscale()(f)
@@ -70,6 +70,7 @@
 		f.classArrivals(k, rand.New(rand.NewPCG(seed, uint64(60+i))), i == flooding, func(c *call) {
 			budgets[c.caller].First()
 			c.urgent = i == 0
+			c.position = i
 			send(c)
 		})
 	}
