--- a/internal/mutant/mutant_test.go
+++ b/internal/mutant/mutant_test.go
@@ -68,6 +68,8 @@
 	arguments := []string{"test", "-count=1", "-v", "-timeout=2m", pkg}
 	if strings.Contains(pkg, "/core/") {
 		arguments = append(arguments, "-args", "-rapid.nofailfile", "-rapid.shrinktime=1s")
+	} else {
+		arguments = append(arguments, "-args", "-runs", "40")
 	}
 	command := exec.CommandContext(ctx, "go", arguments...)
 	command.Env = append(os.Environ(), mutant.Variable+"="+string(name), "POLLENSCALE_MUTANTS=")
