--- a/core/upload/courier.go
+++ b/core/upload/courier.go
@@ -254,9 +254,7 @@
 	body, err := c.Objects.Get(ctx, record.Object)
 	if err != nil {
 		if errors.Is(err, store.ErrNotFound) {
-			invariant.Check(false, "UploadBodyKept", "%s: object %s is gone", record.ID, record.Object)
-			record.Detail = "the body is missing"
-			return c.park(ctx, row, record)
+			return c.missing(ctx, row, record)
 		}
 		record.Outcome = outcome.NotRun
 		return c.putBack(ctx, row, record, now)
@@ -280,6 +278,15 @@
 	return c.park(ctx, row, record)
 }
 
+// missing handles a claimed upload whose body is gone. If the claim was lost
+// meanwhile, another daemon has delivered the upload and removed the body.
+func (c *Courier) missing(ctx context.Context, row store.Row, record Record) error {
+	record.State, record.Detail = Parked, "the body is missing"
+	_, own, err := c.move(ctx, row, record, ParkedTable)
+	invariant.Check(!own, "UploadBodyKept", "%s: object %s is gone", record.ID, record.Object)
+	return err
+}
+
 // repeatable reports whether an idempotent delivery with this status is repeated.
 func repeatable(status int) bool {
 	return status >= 500 || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
