--- a/internal/slopes/gossip.go
+++ b/internal/slopes/gossip.go
@@ -27,9 +27,8 @@
 	roleRandom = "peer: gossip with suspicion, random probes"
 )
 
-// measure takes all figures of one size and seed.
-func measure(r *results, n int, seed uint64) {
-	measureGossip(r, n, seed)
+// measureAlternatives takes the figures of the other ways.
+func measureAlternatives(r *results, n int, seed uint64) {
 	measureRandomProbes(r, n, seed)
 	measureAnyTeller(r, n, seed)
 	measureAllToAll(r, n, seed)
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -67,14 +67,15 @@
 	output := flag.String("out", "SLOPES.json", "file to write")
 	sizes := flag.String("sizes", "50,100,200,400,800", "numbers of daemons")
 	seeds := flag.Int("seeds", 3, "seeds per size")
+	alone := flag.Bool("alone", false, "measure the chosen way only")
 	flag.Parse()
-	if err := run(*output, *sizes, *seeds); err != nil {
+	if err := run(*output, *sizes, *seeds, *alone); err != nil {
 		slog.Error("slopes: failed.", "error", err)
 		os.Exit(1)
 	}
 }
 
-func run(output, sizes string, seeds int) error {
+func run(output, sizes string, seeds int, alone bool) error {
 	r := &results{values: map[key][]float64{}}
 	for _, text := range strings.Split(sizes, ",") {
 		n, err := strconv.Atoi(text)
@@ -87,10 +88,16 @@
 			if seed > 0 && n >= 400 {
 				break
 			}
-			measure(r, n, uint64(seed+1))
+			measureGossip(r, n, uint64(seed+1))
+			if !alone {
+				measureAlternatives(r, n, uint64(seed+1))
+			}
 		}
 		slog.Info("slopes: size measured.", "daemons", n, "seconds", time.Since(started).Seconds())
 	}
+	if alone {
+		return write(output, r.rows())
+	}
 	for seed := range seeds {
 		measureTail(r, roleGossip, uint64(seed+1))
 		measureTail(r, roleRandom, uint64(seed+1), member.WithRandomProbes())
