--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -63,7 +63,7 @@
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
-			conn, err := net.Dial("tcp", f.members[0].CallerAddress())
+			conn, err := net.Dial("tcp", f.nodes[0].CallerAddress())
 			is.NoErr(err)
 			defer conn.Close()
 			is.NoErr(conn.SetDeadline(time.Now().Add(2 * time.Second)))
@@ -77,7 +77,7 @@
 			is.Equal(response.StatusCode, c.WantStatus)
 			is.Equal(response.Header.Get("Pollenscale-Outcome"), c.WantOutcome)
 			is.Equal(len(f.ran(c.Name)), c.WantRan)
-			eventually(t, time.Second, func() bool { return f.members[1].Serve.UnderWay() == 0 })
+			eventually(t, time.Second, func() bool { return f.nodes[1].Serve.UnderWay() == 0 })
 		})
 	}
 }
