--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -111,3 +111,40 @@
 		is.Equal(q.Load(time.Now()).Running, uint32(0))
 	})
 }
+
+// TestFailFast guards against a target that fails fast and so answers more
+// requests than one that works.
+func TestFailFast(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	q := admit.New(&policy.Service{}, limit.Warm(4))
+	q.Now = func() time.Time { return now }
+	granted := 0
+	submit := func() *admit.Ticket {
+		return q.Submit(admit.Request{}, func(err *outcome.Error) {
+			if err == nil {
+				granted++
+			}
+		})
+	}
+	first := submit()
+	now = now.Add(100 * time.Millisecond)
+	first.Release()
+	for range 20 {
+		before := granted
+		ticket := submit()
+		now = now.Add(time.Millisecond)
+		if granted == before {
+			is.True(ticket.Cancel())
+			continue
+		}
+		ticket.Fail()
+	}
+	is.True(granted < 15) // 20 without a hold
+	before := granted
+	submit()
+	is.Equal(granted, before)
+	now = now.Add(100 * time.Millisecond)
+	q.Refresh()
+	is.Equal(granted, before+1)
+}
