--- a/core/member/list_test.go
+++ b/core/member/list_test.go
@@ -98,3 +98,41 @@
 	r, ok := sim.Nodes[0].List.Get(newcomer.Target.Daemon)
 	is.True(ok && r.Incarnation == newcomer.Target.Incarnation) // known to others
 }
+
+// TestPausedJudge guards against a verdict by a process that was paused while
+// the suspect's refutation waited in its socket.
+func TestPausedJudge(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	target := func(id string) fleet.Target {
+		return fleet.Target{Daemon: fleet.DaemonID(id), Incarnation: 1, GossipAddress: id, PeerAddress: id, Service: "s", State: fleet.Serving}
+	}
+	l := member.New(target("a"), member.WithNow(func() time.Time { return now }), member.WithSeed(1))
+	var records []member.Record
+	for _, id := range []string{"b", "c", "d", "e"} {
+		records = append(records, member.Record{Target: target(id), Revision: 1, DetailsRevision: 1, Health: member.Alive})
+	}
+	l.Merge(member.Request{}, member.Reply{Members: records})
+	for range 200 { // b is silent; the others answer and report that b is
+		out, _ := l.Tick()
+		for _, e := range out.Send {
+			answer := member.Datagram{Kind: member.Ack, Sequence: e.Datagram.Sequence, From: fleet.DaemonID(e.To), Subject: e.Datagram.Subject}
+			if e.Datagram.Kind == member.PingRequest {
+				answer.Kind = member.Nack
+			}
+			if e.To != "b" && e.Datagram.Kind != member.Gossip {
+				l.Receive(e.To, answer)
+			}
+		}
+		if r, _ := l.Get("b"); r.Health == member.Suspect {
+			break
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	r, _ := l.Get("b")
+	is.Equal(r.Health, member.Suspect)
+	now = now.Add(time.Second)
+	l.Tick()
+	r, _ = l.Get("b")
+	is.Equal(r.Health, member.Suspect) // not yet condemned after the pause
+}
