core/dispatch: queue at a last target when the redirect budget is used up

A request whose redirects the budget refused was answered NotRun although a target would have queued it. The retry hook now answers Retry, Queue or Stop, and an attempt that its own queue refused ends the request. Spill-over asks the link budget first.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -39,8 +39,23 @@
 	Tried []fleet.DaemonID
 	// Hint is a daemon that the last refusal named, or "".
 	Hint fleet.DaemonID
+	// Final asks for a target at which to queue.
+	Final bool
 }
 
+// Verdict says what follows a failed attempt.
+type Verdict string
+
+// The verdicts.
+const (
+	// Retry allows another attempt.
+	Retry Verdict = "Retry"
+	// Queue allows a last attempt, which waits in the queue of its target.
+	Queue Verdict = "Queue"
+	// Stop allows none.
+	Stop Verdict = "Stop"
+)
+
 // Result is how one attempt ended, as the entry saw it.
 type Result struct {
 	Request   *call.Request
@@ -83,7 +98,7 @@
 	// asked before each further attempt, with the failed one. Nil allows
 	// Retry.MaxAttempts.
 	Called   func(*policy.Service, *call.Request)
-	MayRetry func(*policy.Service, *call.Request, retry.Attempt) bool
+	MayRetry func(*policy.Service, *call.Request, retry.Attempt) Verdict
 	// Poisoned refuses a request that crashed targets before.
 	Poisoned func(*call.Request) error
 	// Fingerprint identifies a request that is sent again. The head is the
@@ -175,42 +190,47 @@
 			return answer, nil
 		}
 		failed = failed.Next(err, r.Idempotent)
-		if !d.again(ctx, service, r, failed, err) {
+		verdict := d.next(ctx, service, r, failed, err)
+		if verdict == Stop || choice.Final {
 			return nil, err
 		}
+		choice.Final = verdict == Queue
 		last = err
 		choice.Tried = append(choice.Tried, target.Daemon)
 		choice.Hint = hint(err)
 	}
 }
 
-// again reports whether the request may be sent once more after an attempt
-// failed with err.
-func (d *Dispatcher) again(ctx context.Context, service *policy.Service, r *call.Request, failed retry.Attempt, err error) bool {
+// next decides what follows an attempt that failed with err.
+func (d *Dispatcher) next(ctx context.Context, service *policy.Service, r *call.Request, failed retry.Attempt, err error) Verdict {
 	var e *outcome.Error
 	if !errors.As(err, &e) || ctx.Err() != nil {
-		return false
+		return Stop
 	}
 	if e.Outcome != outcome.NotRun && !r.Idempotent {
-		return false
+		return Stop
 	}
 	if !passing[e.Reason] {
-		return false
+		return Stop
 	}
 	if e.Reason == outcome.TargetCrashed && failed.Number >= crashAttempts {
-		return false
+		return Stop
 	}
-	if !d.mayRetry(service, r, failed) {
-		return false
+	verdict := d.mayRetry(service, r, failed)
+	if verdict == Stop || !r.Body.Again() {
+		return Stop
 	}
-	return r.Body.Again()
+	return verdict
 }
 
-func (d *Dispatcher) mayRetry(service *policy.Service, r *call.Request, failed retry.Attempt) bool {
-	if d.MayRetry == nil {
-		return failed.Number+failed.Redirects < service.Retry.Attempts()
+func (d *Dispatcher) mayRetry(service *policy.Service, r *call.Request, failed retry.Attempt) Verdict {
+	if d.MayRetry != nil {
+		return d.MayRetry(service, r, failed)
+	}
+	if failed.Number+failed.Redirects < service.Retry.Attempts() {
+		return Retry
 	}
-	return d.MayRetry(service, r, failed)
+	return Stop
 }
 
 // passing are the reasons for failures after which another target may succeed.
--- a/core/retry/attempt.go
+++ b/core/retry/attempt.go
@@ -15,10 +15,16 @@
 	if errors.As(err, &e) {
 		a.Reason = e.Reason
 	}
-	if a.Outcome == outcome.NotRun && redirect(a.Reason) {
+	if a.Redirected() {
 		a.Redirects++
 	} else {
 		a.Number++
 	}
 	return a
 }
+
+// Redirected reports whether the attempt was refused before it cost its target
+// anything.
+func (a Attempt) Redirected() bool {
+	return a.Outcome == outcome.NotRun && redirect(a.Reason)
+}
--- a/internal/daemon/balance.go
+++ b/internal/daemon/balance.go
@@ -91,6 +91,7 @@
 		Urgent:  position == 0,
 		Tried:   c.Tried,
 		Hint:    c.Hint,
+		Final:   c.Final,
 	})
 	if err != nil {
 		return fleet.Target{}, err
@@ -128,9 +129,22 @@
 	b.budget(service).First()
 }
 
-// mayRetry asks the budget of the service.
-func (b *balance) mayRetry(service *policy.Service, _ *call.Request, failed retry.Attempt) bool {
-	return b.budget(service).Allow(failed)
+// mayRetry asks the budget of the service. A request that was refused by the
+// queue that it waited in ends; one that the budget lets go no further waits in
+// the queue of a last target.
+func (b *balance) mayRetry(service *policy.Service, r *call.Request, failed retry.Attempt) dispatch.Verdict {
+	queued := r.StartBy.IsZero() && (failed.Reason == outcome.Overloaded || failed.Reason == outcome.CannotFinish)
+	if queued && failed.Redirected() {
+		return dispatch.Stop
+	}
+	_, failed.Position, _ = service.Rank(r.Rank)
+	if b.budget(service).Allow(failed) {
+		return dispatch.Retry
+	}
+	if failed.Redirected() {
+		return dispatch.Queue
+	}
+	return dispatch.Stop
 }
 
 func (b *balance) budget(service *policy.Service) *retry.Budget {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,6 +200,7 @@
 	}
 	d.members.setChanged(d.balance.chooser.SetTargets)
 	d.links = newLinks(d.Own.Place.Region, d.config.current, d.members.colocated)
+	d.balance.chooser.Spare = d.links.spare
 	d.crashes = newCrashes(d.Log, d.Own)
 	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
 	d.crashes.report = d.reportCrash
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// spare reports whether the budgets to another region have room.
+func (l *links) spare(to fleet.Region) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.budgets {
+		if !b.Spare(link.Pair{From: l.own, To: to}, time.Now()) {
+			return false
+		}
+	}
+	return true
+}
+
 // of returns the budgets of a service, of which each daemon of the region has
 // an equal share.
 func (l *links) of(name fleet.Service) *link.Budgets {
