core/dispatch: keep a request in doubt after a later refusal

Cause: an idempotent request whose first attempt ended as Unknown and whose second was refused as NotRun was answered 'not run', although it may have run.

Change: once an attempt may have run, a later NotRun is answered Unknown. A repeated upload key with another request is now noticed: the daemon sets the upload's fingerprint.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -180,19 +180,23 @@
 	choice := Choice{Request: r, Policy: service}
 	var failed retry.Attempt
 	var last error
+	// inDoubt is set once an attempt may have run. Then no later refusal makes
+	// the request one that did not run.
+	inDoubt := false
 	for {
 		target, err := d.Choose(ctx, choice)
 		if err != nil {
-			return nil, firstError(last, err)
+			return nil, doubted(firstError(last, err), inDoubt)
 		}
 		answer, err := d.try(ctx, target, r)
 		if err == nil {
 			return answer, nil
 		}
+		inDoubt = inDoubt || outcome.Of(err) != outcome.NotRun
 		failed = failed.Next(err, r.Idempotent)
 		verdict := d.next(ctx, service, r, failed, err)
 		if verdict == Stop || choice.Final {
-			return nil, err
+			return nil, doubted(err, inDoubt)
 		}
 		choice.Final = verdict == Queue
 		last = err
@@ -201,6 +205,17 @@
 	}
 }
 
+// doubted replaces a 'not run' by 'unknown' if an earlier attempt may have run.
+func doubted(err error, inDoubt bool) error {
+	var e *outcome.Error
+	if !inDoubt || !errors.As(err, &e) || e.Outcome != outcome.NotRun {
+		return err
+	}
+	open := *e
+	open.Outcome = outcome.Unknown
+	return &open
+}
+
 // next decides what follows an attempt that failed with err.
 func (d *Dispatcher) next(ctx context.Context, service *policy.Service, r *call.Request, failed retry.Attempt, err error) Verdict {
 	var e *outcome.Error
--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -11,7 +11,6 @@
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
 
-	"github.com/cockroachdb/errors"
 )
 
 // keepBytes is the largest answer that is kept for a repeated key.
@@ -152,13 +151,7 @@
 // unlessKeyed replaces a refusal of a request whose key nobody has vouched for
 // by one that leaves open whether an earlier copy ran.
 func (d *Dispatcher) unlessKeyed(route policy.Route, r *call.Request, err error) error {
-	var e *outcome.Error
-	if !d.keyed(route, r) || !errors.As(err, &e) || e.Outcome != outcome.NotRun {
-		return err
-	}
-	open := *e
-	open.Outcome = outcome.Unknown
-	return &open
+	return doubted(err, d.keyed(route, r))
 }
 
 func (d *Dispatcher) claimed(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
--- a/internal/daemon/uploads.go
+++ b/internal/daemon/uploads.go
@@ -71,6 +71,7 @@
 		Size:         fleet.Bytes(r.ContentLength),
 		Idempotent:   service.Route(r.Method, r.Path).Idempotent,
 		Key:          r.Key,
+		Fingerprint:  upload.FingerprintOf(r.Method, r.URI, fleet.Bytes(r.ContentLength)),
 	}, body)
 	if err != nil {
 		return nil, err
