--- a/core/member/faults_test.go
+++ b/core/member/faults_test.go
@@ -33,6 +33,8 @@
 	DetectMs int
 	// MayLose are daemons that may count as failed for a time.
 	MayLose []int
+	// StayListed requires that lost daemons stay in all lists as unreachable.
+	StayListed bool
 	// MaySplit allows that daemons of a cut region count as failed.
 	MaySplit bool
 	// HealedBySeconds is when all tables must agree again; 0 for no check.
@@ -183,6 +185,9 @@
 			}
 			r, listed := seen[b.Target.Daemon]
 			o.neverReverts(a, b, r, listed)
+			if o.c.StayListed && !listed {
+				o.t.Fatalf("seed %d, %s: daemon %d dropped daemon %d from its list", o.seed, o.sim.Now().Format("05.000"), a.Index, b.Index)
+			}
 			gone := !listed || r.Health == member.Unreachable
 			if !b.Up && !gone {
 				unaware[b]++
