--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -27,6 +27,8 @@
 	target  *standin.Target
 	server  *http.Server
 	address string
+	// prepare, if set, changes a daemon before it runs.
+	prepare func(*node)
 	stop    func()
 	stopped chan struct{}
 	done    errgroup.Group
@@ -56,11 +58,19 @@
 // startStoreFleet starts daemons that share a store.
 func startStoreFleet(t testing.TB, s *memstore.Store, services ...fleet.Service) *testFleet {
 	t.Helper()
-	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
-	f.options = []Option{WithLog(slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	var options []Option
 	if s != nil {
-		f.options = append(f.options, WithStore(s.Tables(), s.Objects()))
+		options = append(options, WithStore(s.Tables(), s.Objects()))
 	}
+	return startFleetWith(t, options, services...)
+}
+
+// startFleetWith starts daemons that are built with options.
+func startFleetWith(t testing.TB, options []Option, services ...fleet.Service) *testFleet {
+	t.Helper()
+	f := &testFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	f.options = append(f.options, WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	f.options = append(f.options, options...)
 	for i, service := range services {
 		f.nodes = append(f.nodes, newNode(t, service, string(rune('a'+i)), f.options...))
 	}
@@ -137,6 +147,9 @@
 }
 
 func (m *node) start(t testing.TB) {
+	if m.prepare != nil {
+		m.prepare(m)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	m.stopped = make(chan struct{})
