internal/daemon: elect no crashed target to run a suspect

Cause: all daemons of the service took part in the election of the target that runs a suspect, also those whose target had crashed. A suspect that elected such a target was refused as NotRun Overloaded until the target returned, or until it was forgotten after 10 minutes.

Ruled out: too short a bound in the test. The refusals went on without a change for the whole 4 s, twice the time in which members learn of a crash.

Change: targets in state Leaving are left out of the election. Draining targets stay eligible, since a suspect may still run there. For the time that the news of a returning target needs, two daemons may elect different targets.

Before: TestPoison "idempotent" and "not idempotent, beside innocent requests" failed, "not reached within 4s", innocent requests not served.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -40,10 +40,15 @@
 	return c
 }
 
+// ids returns the daemons whose targets can be elected to run a suspect. A
+// target that crashed or is gone would hold the suspect back until it returns.
+// A draining target stays eligible, since the suspect may still run there.
 func (c *crashes) ids() []fleet.DaemonID {
 	ids := []fleet.DaemonID{c.own.Daemon}
 	for _, m := range c.members() {
-		ids = append(ids, m.Daemon)
+		if m.State != fleet.Leaving {
+			ids = append(ids, m.Daemon)
+		}
 	}
 	return ids
 }
