internal/daemon: log failed deliveries to the daemon's logger

Cause: the courier kept slog.Default, so that its warnings went past the logger that was set with WithLog. Ruled out: a logger lost on the way; no option was ever passed. Change: set the courier's logger. Before: tests with a discarded log printed 'upload: cannot deliver.' during a store outage.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -249,6 +249,7 @@
 	d.Dispatch.Claim = d.keys.claim
 	d.Serve.Fenced = d.keys.fenced
 	d.uploads = newUploads(d.Own, d.tables, d.objects, size)
+	d.uploads.courier.Log = d.Log
 	d.uploads.policy = d.config.current
 	d.uploads.load = d.Load
 	d.uploads.invoke = d.Serve.Invoke
