io/peer: tell a passed deadline as such

At the deadline, reading the body from the caller fails too and cancels the request, so that the caller was told BadRequest, Cancelled or TargetFailed instead of DeadlineExceeded now and then (TestStalledCaller/large failed in 1 to 2 of 15 runs). The outcome was right in each case.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -20,6 +20,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// noAnswer is the detail of an attempt that ended with its deadline.
+const noAnswer = "no answer before the deadline"
+
 // Client sends to other daemons. Attempts, attempts with large request bodies
 // and control messages use separate connections: a binding answer can be had
 // when the connection of an attempt is silent, and bodies that a target reads
@@ -169,8 +172,16 @@
 // describe turns an error of the transport into an *outcome.Error. Nothing was
 // sent when the connection could not be opened.
 func describe(ctx context.Context, err error) error {
-	var own *outcome.Error
-	if errors.As(err, &own) || errors.As(context.Cause(ctx), &own) {
+	// A body that could not be sent completely fails the attempt at the target
+	// too; the cause says more than that failure, unless nothing ran.
+	var own, cause *outcome.Error
+	if errors.As(err, &own) && own.Outcome == outcome.NotRun {
+		return own
+	}
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause
+	}
+	if own != nil && own.Reason != outcome.Cancelled {
 		return own
 	}
 	var op *net.OpError
@@ -178,14 +189,22 @@
 		return outcome.New(outcome.NotRun, outcome.ConnectionLost, err.Error())
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || connect.CodeOf(err) == connect.CodeDeadlineExceeded:
-		return outcome.New(outcome.Unknown, outcome.DeadlineExceed, "no answer before the deadline")
-	case errors.Is(ctx.Err(), context.Canceled):
+	// Reading the body from the caller ends at the deadline too, which cancels
+	// the request at the same time.
+	case past(ctx) || connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+		return outcome.New(outcome.Unknown, outcome.DeadlineExceed, noAnswer)
+	case own != nil || errors.Is(ctx.Err(), context.Canceled):
 		return outcome.New(outcome.Unknown, outcome.Cancelled, "the caller cancelled the request")
 	}
 	return outcome.New(outcome.Unknown, outcome.ConnectionLost, err.Error())
 }
 
+// past reports whether the deadline of ctx has passed.
+func past(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // exchange is the sending side of one attempt.
 type exchange struct {
 	// next receives a message. The stream is nil for a request of one message.
@@ -267,7 +286,7 @@
 	context.AfterFunc(s.ctx, func() { _ = s.stream.CloseRequest() })
 	s.sender.Go(func() error {
 		if err := s.sendRest(rest); err != nil {
-			s.cancel(err)
+			s.cancel(s.sendFailure(err, r.Deadline))
 			return err
 		}
 		return s.stream.CloseRequest()
@@ -281,7 +300,7 @@
 		n, err := rest.Read(*p)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
-			return unreadable(err)
+			return err
 		}
 		m := &peerpb.InvokeRequest{Body: (*p)[:n], End: end, AttemptTag: s.tag}
 		if err := s.stream.Send(m); errors.Is(err, io.EOF) {
@@ -295,12 +314,17 @@
 	}
 }
 
-// unreadable describes a request body that the caller did not complete.
-func unreadable(err error) error {
+// sendFailure describes a request body that was not sent completely. Reading it
+// from the caller fails at the request's deadline too, at the same time as the
+// attempt does.
+func (s *exchange) sendFailure(err error, deadline time.Time) error {
 	var e *outcome.Error
 	if errors.As(err, &e) {
 		return e
 	}
+	if !s.now().Before(deadline) {
+		return outcome.New(outcome.Unknown, outcome.DeadlineExceed, noAnswer)
+	}
 	return outcome.New(outcome.Unknown, outcome.BadRequest, "the body could not be read: "+err.Error())
 }
 
