internal/daemon: tell started daemons which requests crashed targets

A daemon that had just started knew no suspects, so that a poison request could cost one more target. It is now told all marks by the other daemons of its service, and reports are bounded by a second.

--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -10,7 +10,6 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
-
 )
 
 // keepBytes is the largest answer that is kept for a repeated key.
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -29,17 +29,74 @@
 	// report sends a report to the daemon at a peer address.
 	report func(context.Context, string, *peerpb.ReportCrashRequest) error
 
+	// started are daemons of the service that know no marks yet.
+	started chan fleet.Target
+
 	mu sync.Mutex
 	// epoch counts the crashes of the target.
 	epoch int
+	// met holds the processes of the other daemons that were told all marks.
+	met map[fleet.DaemonID]fleet.Incarnation
 }
 
+const (
+	// startedDaemons bounds the daemons that wait for the marks.
+	startedDaemons = 64
+	// reportTimeout bounds reports that no caller waits for.
+	reportTimeout = time.Second
+)
+
 func newCrashes(log *slog.Logger, own fleet.Target) *crashes {
-	c := &crashes{log: log, own: own}
+	c := &crashes{
+		log:     log,
+		own:     own,
+		started: make(chan fleet.Target, startedDaemons),
+		met:     map[fleet.DaemonID]fleet.Incarnation{},
+	}
 	c.list = poison.New(own.Daemon, poison.WithMembers(c.ids), poison.WithSend(c.send))
 	return c
 }
 
+// meet notes a daemon of the service. One that has just started is told all
+// marks, since it would run a poison request once more.
+func (c *crashes) meet(t fleet.Target) {
+	c.mu.Lock()
+	known := c.met[t.Daemon] == t.Incarnation
+	c.met[t.Daemon] = t.Incarnation
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	select {
+	case c.started <- t:
+	default:
+		c.log.Warn("poison: marks not sent.", "daemon", t.Daemon)
+	}
+}
+
+// run tells the marks to daemons that have started, until ctx ends.
+func (c *crashes) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-c.started:
+			c.tell(ctx, t)
+		}
+	}
+}
+
+func (c *crashes) tell(ctx context.Context, t fleet.Target) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	for _, r := range c.list.Snapshot() {
+		if err := c.report(ctx, t.PeerAddress, c.message(r)); err != nil {
+			c.log.Warn("poison: marks not sent.", "daemon", t.Daemon, "error", err)
+			return
+		}
+	}
+}
+
 // ids returns the daemons whose targets can be elected to run a suspect. A
 // target that crashed or is gone would hold the suspect back until it returns.
 // A draining target stays eligible, since the suspect may still run there.
@@ -66,7 +123,8 @@
 	}
 	epoch := c.current()
 	return func(e serve.Ended) {
-		ctx := context.Background()
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
 		if e.Reason == outcome.TargetCrashed {
 			c.crashed(ctx, epoch)
 			return
@@ -96,15 +154,7 @@
 
 // send passes a report to the other daemons of the service.
 func (c *crashes) send(ctx context.Context, r poison.Report) {
-	message := &peerpb.ReportCrashRequest{
-		Daemon:       string(c.own.Daemon),
-		Service:      string(c.own.Service),
-		Fingerprints: pack(r.Suspects),
-		Condemned:    pack(r.Condemned),
-		Cleared:      pack(r.Cleared),
-		SentAt:       timestamppb.New(time.Now()),
-		ForgetAt:     timestamppb.New(r.ForgetAt),
-	}
+	message := c.message(r)
 	var group errgroup.Group
 	for _, m := range c.members() {
 		group.Go(func() error {
@@ -117,6 +167,18 @@
 	_ = group.Wait() // no report returns an error
 }
 
+func (c *crashes) message(r poison.Report) *peerpb.ReportCrashRequest {
+	return &peerpb.ReportCrashRequest{
+		Daemon:       string(c.own.Daemon),
+		Service:      string(c.own.Service),
+		Fingerprints: pack(r.Suspects),
+		Condemned:    pack(r.Condemned),
+		Cleared:      pack(r.Cleared),
+		SentAt:       timestamppb.New(time.Now()),
+		ForgetAt:     timestamppb.New(r.ForgetAt),
+	}
+}
+
 // receive takes over the report of another daemon.
 func (c *crashes) receive(_ context.Context, m *peerpb.ReportCrashRequest) (*peerpb.ReportCrashResponse, error) {
 	if fleet.Service(m.GetService()) != c.own.Service {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -204,6 +204,7 @@
 	d.crashes = newCrashes(d.Log, d.Own)
 	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
 	d.crashes.report = d.reportCrash
+	d.members.colleague = d.colleague
 	d.Target = target.New(d.Settings.Target.Address)
 	d.Target.SeenState = d.State.Sign
 	d.Serve = &serve.Server{
@@ -217,6 +218,14 @@
 	}
 }
 
+// colleague is told of changes of the other daemons of the own service.
+func (d *Daemon) colleague(t fleet.Target) {
+	d.crashes.meet(t)
+	if d.keys != nil {
+		d.keys.holder.Recheck()
+	}
+}
+
 func (d *Daemon) reportCrash(ctx context.Context, address string, m *peerpb.ReportCrashRequest) error {
 	_, err := d.Peer.Control(address).ReportCrash(ctx, connect.NewRequest(m))
 	return err
@@ -250,7 +259,6 @@
 	d.keys.policy = d.config.current
 	d.keys.ownerOf = d.members.ownerOf
 	d.keys.changed = d.members.setKeySlots
-	d.members.colleague = d.keys.holder.Recheck
 	d.Dispatch.Owner = d.keys.owner
 	d.Dispatch.Claim = d.keys.claim
 	d.Serve.Fenced = d.keys.fenced
@@ -349,7 +357,7 @@
 
 // background returns the parts that run beside the servers.
 func (d *Daemon) background() []func(context.Context) error {
-	parts := []func(context.Context) error{d.members.run, d.config.spreader.Run, d.balance.run}
+	parts := []func(context.Context) error{d.members.run, d.config.spreader.Run, d.balance.run, d.crashes.run}
 	if d.keys != nil {
 		parts = append(parts, d.keys.run, d.uploads.run)
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -40,7 +40,7 @@
 	// changed is given the targets of the subscribed services.
 	changed func([]fleet.Target)
 	// colleague is called when another daemon of the own service has changed.
-	colleague func()
+	colleague func(fleet.Target)
 
 	mu         sync.Mutex
 	subscribed map[fleet.Service]bool
@@ -69,7 +69,7 @@
 func (m *members) onChange(c member.Change) {
 	m.refresh()
 	if c.Member.Service == m.own.Service && m.colleague != nil {
-		m.colleague()
+		m.colleague(c.Member.Target)
 	}
 }
 
