core/dispatch: look the owner up again when a daemon has handed the slot over

Cause: a daemon that released a key slot in a planned stop answers Unknown KeyUnknown, or Unknown Draining, to entries that have not yet heard of the change. The entry took this for a decision about the key and passed it to the caller, although only the new owner decides.

Ruled out: a lease that was not released, and a slot without a new owner. The failing request was answered after 0.6 ms, and the lease rows showed new holders with higher tokens.

Change: the refusal has a reason of its own, NotOwner. An entry that gets it, or Draining with outcome Unknown, looks the owner up again within the existing 2 s. This copy of the request did not run, and the next owner answers 'unknown' for keys that the earlier one may have accepted. Callers still see KeyUnknown in the end.

--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -82,7 +82,9 @@
 	if !own {
 		return d.forward(ctx, owner, r)
 	}
-	answer, err = d.claimed(ctx, service, r)
+	if answer, err = d.claimed(ctx, service, r); err != nil && handedOver(err) {
+		return nil, true, unvouched("the owner of the key did not decide: " + err.Error())
+	}
 	return answer, false, err
 }
 
@@ -116,7 +118,7 @@
 	vouched := outcome.Of(err) == outcome.NotRun && !undecided(err)
 	err = d.settled(ctx, owner, open.Ref, err)
 	open.Close()
-	if outcome.Of(err) != outcome.NotRun || vouched {
+	if outcome.Of(err) != outcome.NotRun && !handedOver(err) || vouched {
 		return nil, false, err
 	}
 	return nil, true, unvouched("the owner of the key did not decide: " + err.Error())
@@ -128,6 +130,13 @@
 	return r == outcome.ConnectionLost || r == outcome.StaleAttempt || r == outcome.Draining
 }
 
+// handedOver reports whether a daemon refused to decide because it is not, or no
+// longer, the owner of the key. Only an earlier copy of the request can have run.
+func handedOver(err error) bool {
+	r := reasonOf(err)
+	return outcome.Of(err) == outcome.Unknown && (r == outcome.NotOwner || r == outcome.Draining)
+}
+
 func unvouched(detail string) error {
 	return outcome.New(outcome.Unknown, outcome.KeyUnknown, detail)
 }
--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -254,7 +254,7 @@
 }
 
 func notOwner() error {
-	return outcome.New(outcome.Unknown, outcome.KeyUnknown, "this daemon does not own the key's slot")
+	return outcome.New(outcome.Unknown, outcome.NotOwner, "this daemon does not own the key's slot")
 }
 
 // stopping refuses new keys of a draining table. Until the release is sent, no
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -45,6 +45,7 @@
 	Poison          Reason = "Poison"  // crashed targets before
 	Running         Reason = "Running" // the first request with this key is under way
 	KeyUnknown      Reason = "KeyUnknown"
+	NotOwner        Reason = "NotOwner"  // this daemon does not own the key's slot
 	KeyReused       Reason = "KeyReused" // same key, different request
 	StoreDown       Reason = "StoreDown"
 	TargetFailed    Reason = "TargetFailed"
