--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -248,29 +246,6 @@
 	wait()
 }
 
-// TestRollingRestarts guards against requests that are cut or run twice while
-// the daemons of a service restart one after the other.
-func TestRollingRestarts(t *testing.T) {
-	f := startFleet(t, "desk", "agenda", "agenda")
-	stop := make(chan struct{})
-	_, wait := f.load(t, stop, "POST")
-	for n := range restarts() {
-		time.Sleep(600 * time.Millisecond) // the entry learns of the last restart
-		f.restart(t, f.nodes[1+n%2], false)
-	}
-	close(stop)
-	wait()
-}
-
-// restarts returns the number of rolling restarts, from the environment for
-// long runs.
-func restarts() int {
-	if n, err := strconv.Atoi(os.Getenv("RESTARTS")); err == nil {
-		return n
-	}
-	return 2
-}
-
 // TestDaemonDies guards against requests that run twice, or that ran although
 // their caller was told 'not run', when a daemon is killed and comes back.
 func TestDaemonDies(t *testing.T) {
@@ -291,7 +266,7 @@
 			return nil
 		})
 	}
-	for n := range restarts() {
+	for n := range *restartsFlag {
 		time.Sleep(200 * time.Millisecond)
 		f.restart(t, f.nodes[1+n%2], true)
 	}
--- a/internal/daemon/poison_test.go
+++ b/internal/daemon/poison_test.go
@@ -21,6 +21,8 @@
 	outcome, reason string
 	header          http.Header
 	body            []byte
+	// closing is set when the entry asks the caller to leave.
+	closing bool
 }
 
 // post sends a request with a body of its own.
@@ -38,7 +40,7 @@
 		return served{}, err
 	}
 	defer response.Body.Close()
-	s := served{status: response.StatusCode, outcome: response.Header.Get("Pollenscale-Outcome"), header: response.Header}
+	s := served{status: response.StatusCode, outcome: response.Header.Get("Pollenscale-Outcome"), header: response.Header, closing: response.Close}
 	if s.body, err = io.ReadAll(response.Body); err != nil {
 		return s, err
 	}
