--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,8 @@
 	d.members = newMembers(d.Log, d.Own, d.Settings.Seeds, d.gossipConn, d.Peer, d.tables, d.config.heard)
 	d.config.spreader.Announce = func(h spread.Head) { d.members.list.SetConfig(uint64(h.Version), h.Digest) }
 	d.config.spreader.Members = d.members.list.Size
-	d.config.spreader.Joined = d.members.list.Joined
+	d.config.spreader.Joined = d.joined
+	d.config.spreader.Near = d.members.near
 }
 
 func (d *Daemon) buildTargetSide() {
@@ -218,6 +219,11 @@
 	}
 }
 
+// joined reports whether a seed has answered, or none is configured.
+func (d *Daemon) joined() bool {
+	return len(d.Settings.Seeds) == 0 || d.members.list.Joined()
+}
+
 // colleague is told of changes of the other daemons of the own service.
 func (d *Daemon) colleague(t fleet.Target) {
 	d.crashes.meet(t)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -150,6 +150,16 @@
 	return owner, lease.Token(highest), highest > 0
 }
 
+// near reports whether the daemon at a peer address is in the own region.
+func (m *members) near(address string) bool {
+	for _, r := range m.list.All() {
+		if r.PeerAddress == address {
+			return r.Place.Region == m.own.Place.Region
+		}
+	}
+	return false
+}
+
 // colocated returns the number of daemons in the own region, this one included.
 func (m *members) colocated() int {
 	n := 1
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,8 @@
 	"pollenscale/core/upload"
 	"pollenscale/io/operator"
 	"pollenscale/io/platform"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -98,7 +101,14 @@
 
 // endpoints returns the functions behind the operators' port.
 func (d *Daemon) endpoints() operator.Endpoints {
-	return operator.Endpoints{Ready: d.notReady, Status: d.status}
+	set := metrics.NewSet()
+	d.members.list.Register(set)
+	d.config.spreader.Register(set)
+	return operator.Endpoints{
+		Ready:        d.notReady,
+		Status:       d.status,
+		WriteMetrics: func(w http.ResponseWriter) { set.WritePrometheus(w) },
+	}
 }
 
 // notReady returns the reasons for which the daemon takes no work.
@@ -107,7 +117,7 @@
 	if s := d.State.Get(); !s.TakesWork() {
 		reasons = append(reasons, "the target is "+string(s))
 	}
-	if len(d.Settings.Seeds) > 0 && !d.members.list.Joined() {
+	if !d.joined() {
 		reasons = append(reasons, "no seed has answered")
 	}
 	if d.config.current() == nil {
