--- a/internal/daemon/restarts_test.go
+++ b/internal/daemon/restarts_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"pollenscale/core/fleet"
 	"pollenscale/standin/memstore"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,12 @@
 	// answered are the requests that were answered and are not yet checked.
 	answered []string
 	total    int
+	// cut counts the requests that were not answered as they should.
+	cut int
+	// restarted counts the restarts, last is the daemon that restarted or is
+	// restarting; both are for messages.
+	restarted int
+	last      fleet.DaemonID
 }
 
 // TestRollingRestarts guards against requests that are cut or run twice while
@@ -64,22 +71,24 @@
 			group.Go(func() error { return r.send(t, kind, worker) })
 		}
 	}
-	done := 0
 	for n := range *restartsFlag {
 		time.Sleep(settleTime)
 		order := len(f.nodes) - 1 - n%len(f.nodes) // targets first
+		r.mu.Lock()
+		r.restarted, r.last = n+1, f.nodes[order].Own.Daemon
+		r.mu.Unlock()
 		f.restart(t, f.nodes[order], false)
-		done++
 		if err := r.check(); err != nil {
-			t.Errorf("after restart %d, of %s: %v", done, f.nodes[order].Own.Daemon, err)
+			t.Errorf("after restart %d, of %s: %v", r.restarted, r.last, err)
 			break
 		}
 	}
 	close(r.stop)
+	err := group.Wait()
+	t.Logf("%d restarts, %d requests, %d cut", r.restarted, r.total, r.cut)
 	is := is.New(t)
-	is.NoErr(group.Wait())
+	is.NoErr(err)
 	is.NoErr(r.check())
-	t.Logf("%d restarts, %d requests", done, r.total)
 }
 
 // send sends requests of a kind until the load stops or one fails. A caller
@@ -102,7 +111,7 @@
 		start := time.Now()
 		s, err := r.fleet.post(t.Context(), entry, http.MethodPost, kind.Path, id, header)
 		if err != nil || s.status != http.StatusOK {
-			return errors.Newf("%s at entry %d after %v: %d %s %s %s %v", id, entry, time.Since(start), s.status, s.outcome, s.reason, s.body, err)
+			return r.failed("%s at entry %d after %v: %d %s %s %s %v", id, entry, time.Since(start), s.status, s.outcome, s.reason, s.body, err)
 		}
 		r.mu.Lock()
 		r.answered = append(r.answered, id)
@@ -114,6 +123,14 @@
 	}
 }
 
+// failed counts a request that was cut, and says when.
+func (r *restartRun) failed(format string, args ...any) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut++
+	return errors.Wrapf(errors.Newf(format, args...), "at restart %d, of %s", r.restarted, r.last)
+}
+
 // check checks that the requests answered since the last check ran, and that
 // none in the logs of the targets ran twice.
 func (r *restartRun) check() error {
