--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -95,6 +95,7 @@
 // all daemons, that is replaced by an older one, or that spreads although it
 // fails its checks.
 func TestConfiguration(t *testing.T) {
+	t.Parallel()
 	var cases []configCase
 	loadJSON(t, "configuration.json", &cases)
 	for _, c := range cases {
--- a/internal/daemon/uploads_test.go
+++ b/internal/daemon/uploads_test.go
@@ -119,6 +119,7 @@
 // accepted although they cannot be made durable, or that run twice after the
 // daemon that delivers them has died.
 func TestUploads(t *testing.T) {
+	t.Parallel()
 	var cases []uploadCase
 	loadJSON(t, "uploads.json", &cases)
 	for _, c := range cases {
