core/spread: listen before taking the first version

Ruled out: the holder, which refuses anything older than what it has heard.

Change: a daemon without a version listens for 2 s after it has heard of the first one, and takes the latest.

--- a/core/lease/acquire.go
+++ b/core/lease/acquire.go
@@ -75,6 +75,7 @@
 func (h *Holder) look(ctx context.Context, name Name) (candidate, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	rechecks := h.recheckCount()
 	before := h.Clock()
 	row, at, err := h.Tables.Read(ctx, LeaseTable, string(name))
 	if err != nil {
@@ -121,6 +122,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	clear(h.busy)
+	h.rechecks++
 }
 
 func (h *Holder) markBusy(c candidate, wait time.Duration) {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -73,7 +73,9 @@
 	held  map[Name]*entry
 	// busy is when a lease held by another daemon can be free again, by the
 	// clock of this process.
-	busy     map[Name]busyUntil
+	busy map[Name]busyUntil
+	// rechecks counts the calls of Recheck.
+	rechecks uint64
 	clock    sample
 	failures int
 }
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -83,6 +83,11 @@
 	refusedPause = 30 * time.Second
 )
 
+// firstWait is how long a daemon that holds no version yet listens after it has
+// heard of the first one. Its earlier process may have had a later version in
+// force than the first peer that it hears; in this time about ten peers are heard.
+const firstWait = 2 * time.Second
+
 // ErrOlder is returned for an update that does not lead past the version in force.
 var ErrOlder = errors.New("update is not newer than the version in force")
 
@@ -137,6 +142,9 @@
 	far    []string
 	farAt  time.Time
 	readAt time.Time
+	// firstAt is when a daemon without a version may put one in force, zero
+	// until it has heard of one.
+	firstAt time.Time
 	// alone is set while reads are placed for a daemon that no peer has answered;
 	// spreadOver is the time over which its next read is spread.
 	alone      bool
@@ -199,6 +207,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if current.Version == 0 && s.firstAt.IsZero() {
+		s.firstAt = s.now().Add(firstWait)
+	}
 	if h.Version > s.latest.Version {
 		s.latest = h
 		s.tellers = nil
@@ -287,7 +298,7 @@
 		return "", false
 	}
 	now := s.now()
-	if now.Before(s.retryAt) {
+	if now.Before(s.retryAt) || s.listens(current, now) {
 		return "", false
 	}
 	queue := &s.tellers
@@ -302,6 +313,12 @@
 	return address, true
 }
 
+// listens reports whether the daemon still waits to hear of a later version
+// before it puts its first one in force. The caller holds the lock.
+func (s *Spreader) listens(current Head, now time.Time) bool {
+	return current.Version == 0 && now.Before(s.firstAt)
+}
+
 func (s *Spreader) fetch(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -355,9 +372,13 @@
 	if s.ReadStore == nil {
 		return false
 	}
+	current := s.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if s.listens(current, now) {
+		return false
+	}
 	alone := !s.Joined()
 	if s.readAt.IsZero() || s.alone && !alone {
 		// A new daemon fetches from peers. Its first read is placed at random
@@ -397,6 +418,7 @@
 
 // next returns when Step is due again.
 func (s *Spreader) next() time.Time {
+	current := s.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.now().Add(time.Minute)
@@ -409,6 +431,9 @@
 	if len(s.far) > 0 && s.farAt.Before(next) {
 		next = later(s.farAt, s.retryAt)
 	}
+	if s.listens(current, s.now()) {
+		next = later(next, s.firstAt)
+	}
 	return next
 }
 
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -46,8 +46,9 @@
 		Name    string
 		Current spread.Version
 		Heard   []struct {
-			Peer    string
-			Version spread.Version
+			Peer           string
+			Version        spread.Version
+			AtMilliseconds int
 		}
 		Peers   map[string]spread.Version
 		Store   int
@@ -87,7 +88,12 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
 				for _, heard := range c.Heard {
-					s.Heard(heard.Peer, spread.Head{Version: heard.Version, Digest: "d"})
+					hear := func() { s.Heard(heard.Peer, spread.Head{Version: heard.Version, Digest: "d"}) }
+					if heard.AtMilliseconds == 0 {
+						hear()
+						continue
+					}
+					time.AfterFunc(time.Duration(heard.AtMilliseconds)*time.Millisecond, hear)
 				}
 				is.True(errors.Is(s.Run(ctx), context.DeadlineExceeded))
 				is.Equal(h.head.Version, c.Want)
