core/spread: look again soon whether a new daemon has joined

Cause: a daemon that no peer has answered places its first store read within 20 s. Joining moves the read forward, but only when Step runs, and Run slept until the read. A version published just after a start stayed unknown.

Ruled out: the load of the machine.

Change: while alone, Step runs again after at most 1 s. It costs no read.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -403,6 +403,9 @@
 	if s.ReadStore != nil && s.readAt.Before(next) {
 		next = s.readAt
 	}
+	if soon := s.now().Add(leastInterval); s.alone && soon.Before(next) {
+		next = soon // joining moves the next read forward
+	}
 	if len(s.tellers) > 0 && s.retryAt.Before(next) {
 		next = s.retryAt
 	}
