core/lease: keep a recheck that arrives while a row is read

A look that had read the row before a release marked the lease as busy until its expiry, after the recheck that the release caused. Nobody then looked at the lease for up to a minute. The mark is now dropped when a recheck was asked for since the read.

--- a/core/lease/acquire.go
+++ b/core/lease/acquire.go
@@ -94,11 +94,11 @@
 		return c, true, nil
 	}
 	if !rec.free(at) {
-		h.markBusy(c, rec.Expiry.Sub(at))
+		h.markBusy(c, rec.Expiry.Sub(at), rechecks)
 		return candidate{}, false, nil
 	}
 	if rec.Token != 0 && !rec.Released && !h.watched(c) {
-		h.markBusy(c, 3*h.retryPause()/2)
+		h.markBusy(c, 3*h.retryPause()/2, rechecks)
 		return candidate{}, false, nil
 	}
 	return c, true, nil
@@ -125,10 +125,21 @@
 	h.rechecks++
 }
 
-func (h *Holder) markBusy(c candidate, wait time.Duration) {
+func (h *Holder) recheckCount() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rechecks
+}
+
+// markBusy leaves a lease alone for the given time, unless a recheck was asked
+// for since its row was read.
+func (h *Holder) markBusy(c candidate, wait time.Duration, rechecks uint64) {
 	now := h.Clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if rechecks != h.rechecks {
+		return
+	}
 	h.busy[c.name] = busyUntil{at: now, wait: min(wait, Length), version: c.row.Version}
 }
 
