core/wait: one place for pauses and tickers

The same pause stood in core/dispatch, core/idempotency and core/upload, and the same ticker loop six times in internal/daemon.

--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -10,6 +10,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
+	"pollenscale/core/wait"
 )
 
 // keepBytes is the largest answer that is kept for a repeated key.
@@ -64,7 +65,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		if !moved || d.now().After(until) || !pause(ctx, handoverPause) || !r.Body.Again() {
+		if !moved || d.now().After(until) || !wait.For(ctx, handoverPause) || !r.Body.Again() {
 			return nil, err
 		}
 	}
@@ -86,18 +87,6 @@
 	return answer, false, err
 }
 
-// pause waits and reports false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // forward has the owner decide. The flag moved is set when the request surely
 // did not reach an owner's decision, so that the owner can be looked up again.
 //
--- a/core/idempotency/recorder.go
+++ b/core/idempotency/recorder.go
@@ -6,6 +6,7 @@
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 )
 
 // KeyTable is the table of recorded keys.
@@ -88,23 +89,12 @@
 			continue
 		}
 		r.commit(ctx, batch)
-		if !sleep(ctx, r.Spacing()) {
+		if !wait.For(ctx, r.Spacing()) {
 			return ctx.Err()
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // gather returns the write and those that wait behind it.
 func (r *Recorder) gather(first write) []write {
 	batch := []write{first}
--- a/core/upload/accept.go
+++ b/core/upload/accept.go
@@ -9,6 +9,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -84,7 +85,7 @@
 		if settleAccept.Off() {
 			return Record{}, outcome.New(outcome.NotRun, outcome.StoreDown, "the table service does not answer")
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return Record{}, outcome.New(outcome.Unknown, outcome.StoreDown, "upload "+id+" may have been accepted")
 		}
 	}
@@ -133,14 +134,3 @@
 	defer cancel()
 	return c.Tables.Transact(ctx, t)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/core/upload/courier.go
+++ b/core/upload/courier.go
@@ -13,6 +13,7 @@
 	"pollenscale/core/invariant"
 	"pollenscale/core/outcome"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -117,7 +118,7 @@
 func (c *Courier) Run(ctx context.Context) error {
 	for {
 		pause := time.Duration((0.5 + c.Random()) * float64(c.pollPause()))
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return ctx.Err()
 		}
 		for c.Room() {
@@ -364,7 +365,7 @@
 			version, own := written(result.Conflicts, to, record)
 			return version, own, nil
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return 0, false, err
 		}
 	}
--- a/internal/daemon/balance.go
+++ b/internal/daemon/balance.go
@@ -17,6 +17,7 @@
 	"pollenscale/core/probe"
 	"pollenscale/core/retry"
 	"pollenscale/core/serve"
+	"pollenscale/core/wait"
 )
 
 // refreshInterval is how often the queue looks for requests whose time has run
@@ -187,14 +188,5 @@
 
 // run refreshes the queue until ctx ends.
 func (b *balance) run(ctx context.Context) error {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			b.queue.Refresh()
-		}
-	}
+	return wait.Every(ctx, refreshInterval, b.queue.Refresh)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"pollenscale/core/serve"
 	"pollenscale/core/spread"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 	"pollenscale/internal/settings"
 	"pollenscale/io/caller"
 	"pollenscale/io/gossip"
@@ -402,30 +403,13 @@
 
 // sweep removes the state of silent entries.
 func (d *Daemon) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.Attempts.Sweep()
-		}
-	}
+	return wait.Every(ctx, sweepInterval, d.Attempts.Sweep)
 }
 
 // watchTarget reads the target's health.
 func (d *Daemon) watchTarget(ctx context.Context) error {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		d.checkTarget(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	d.checkTarget(ctx)
+	return wait.Every(ctx, healthInterval, func() { d.checkTarget(ctx) })
 }
 
 func (d *Daemon) checkTarget(ctx context.Context) {
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -16,6 +16,7 @@
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -158,19 +159,12 @@
 
 // announce tells membership which leases are held.
 func (k *keys) announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
 	var last []lease.Grant
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return wait.Every(ctx, announceInterval, func() {
 		if k.stopping.Load() {
 			// Others would look at a lease before it is released, and then not
 			// again before its expiry.
-			continue
+			return
 		}
 		grants := k.holder.Grants()
 		slices.SortFunc(grants, func(a, b lease.Grant) int { return strings.Compare(string(a.Name), string(b.Name)) })
@@ -178,7 +172,7 @@
 			last = grants
 			k.changed(grants)
 		}
-	}
+	})
 }
 
 func sameToken(a, b lease.Grant) bool {
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -9,6 +9,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/link"
 	"pollenscale/core/policy"
+	"pollenscale/core/wait"
 )
 
 // defaultLinkBytes is the bandwidth of a region pair, 4,000 Mbit/s each way,
@@ -53,11 +54,7 @@
 		if at.IsZero() {
 			return nil
 		}
-		timer := time.NewTimer(time.Until(at))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.For(ctx, time.Until(at)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -12,6 +12,7 @@
 	"pollenscale/core/lease"
 	"pollenscale/core/member"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 	"pollenscale/io/gossip"
 	"pollenscale/io/peer"
 	"pollenscale/io/peer/peerpb"
@@ -233,16 +234,10 @@
 	if m.joiner.Tables.Read == nil {
 		return nil
 	}
-	for {
-		pause := time.NewTimer(contactInterval/2 + rand.N(contactInterval))
-		select {
-		case <-ctx.Done():
-			pause.Stop()
-			return nil
-		case <-pause.C:
-		}
+	for wait.For(ctx, contactInterval/2+rand.N(contactInterval)) {
 		if err := m.joiner.PublishContact(ctx); err != nil {
 			m.log.Info("member: contact not published.", "error", err)
 		}
 	}
+	return nil
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -8,6 +8,7 @@
 
 	"pollenscale/core/store"
 	"pollenscale/core/upload"
+	"pollenscale/core/wait"
 	"pollenscale/io/operator"
 	"pollenscale/io/platform"
 
@@ -70,33 +71,22 @@
 // shareStore keeps the own share of the store's budget in step with the size
 // of the fleet, until ctx ends.
 func (d *Daemon) shareStore(ctx context.Context) error {
-	ticker := time.NewTicker(budgetInterval)
-	defer ticker.Stop()
-	for {
-		n := float64(max(1, d.members.list.Size()))
-		d.store.SetBudget(max(leastReads, fleetReads/n), max(leastWrites, fleetWrites/n), storeBurst)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	d.setStoreBudget()
+	return wait.Every(ctx, budgetInterval, d.setStoreBudget)
+}
+
+func (d *Daemon) setStoreBudget() {
+	n := float64(max(1, d.members.list.Size()))
+	d.store.SetBudget(max(leastReads, fleetReads/n), max(leastWrites, fleetWrites/n), storeBurst)
 }
 
 // watchParked reads the parked uploads of the own service now and then.
 func (d *Daemon) watchParked(ctx context.Context) error {
-	ticker := time.NewTicker(parkedInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return wait.Every(ctx, parkedInterval, func() {
 		if records, err := d.uploads.courier.List(ctx, d.Own.Service, upload.Parked, "", listedUploads); err == nil {
 			d.store.parked.Store(&records)
 		}
-	}
+	})
 }
 
 // endpoints returns the functions behind the operators' port.
