--- a/core/probe/probe.go
+++ b/core/probe/probe.go
@@ -19,9 +19,9 @@
 const (
 	// DefaultShare is the number of probes that a target answers per request.
 	DefaultShare policy.Share = 0.01
-	// floorPerSecond is the number of probes that an idle target answers, so
+	// FloorPerSecond is the number of probes that an idle target answers, so
 	// that a target without requests can still be measured.
-	floorPerSecond = 1
+	FloorPerSecond = 1
 	// burst bounds saved probes.
 	burst = 10
 )
@@ -107,7 +107,7 @@
 	if share == 0 {
 		share = DefaultShare
 	}
-	return &Gate{share: float64(share), idle: newBucket(floorPerSecond, 1, now), start: now}
+	return &Gate{share: float64(share), idle: newBucket(FloorPerSecond, 1, now), start: now}
 }
 
 // Served records a request of the target.
@@ -133,7 +133,7 @@
 	}
 	g.answered++
 	elapsed := g.idle.at.Sub(g.start).Seconds()
-	invariant.Check(g.answered <= g.share*g.requests+floorPerSecond*elapsed+1+1e-6, "probe_gate",
+	invariant.Check(g.answered <= g.share*g.requests+FloorPerSecond*elapsed+1+1e-6, "probe_gate",
 		"%g probes for %g requests in %g s", g.answered, g.requests, elapsed)
 	return true
 }
--- a/internal/daemon/keys_test.go
+++ b/internal/daemon/keys_test.go
@@ -13,8 +13,10 @@
 	"pollenscale/core/lease"
 	"pollenscale/standin/memstore"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // keyStep is one step of a script about idempotency keys.
@@ -72,6 +74,10 @@
 		r.store.SetFaults(memstore.Faults{})
 	case "StopOwner":
 		r.stopOwner(t, r.key(s.Key))
+	case "KillOwner":
+		r.killOwner(t, r.key(s.Key))
+	case "SendAtOnce":
+		r.sendAtOnce(t, s)
 	case "WaitOwners":
 		r.waitOwners(t, s.Node)
 	default:
@@ -108,8 +114,33 @@
 	is.Equal([]any{response.StatusCode, response.Header.Get("Pollenscale-Outcome"), p.Reason}, []any{s.WantStatus, s.WantOutcome, s.WantReason})
 }
 
-// stopOwner stops the daemon that owns the key's slot, gracefully.
-func (r *keyRun) stopOwner(t *testing.T, key string) {
+// sendAtOnce sends copies of a request to all daemons at the same time. Each
+// gets the first answer or is told that the first copy is under way.
+func (r *keyRun) sendAtOnce(t *testing.T, s keyStep) {
+	t.Helper()
+	key := r.key(s.Key)
+	var group errgroup.Group
+	for n := range r.fleet.nodes {
+		group.Go(func() error {
+			got, err := r.fleet.post(t.Context(), n, http.MethodPost, s.Path, "data", map[string]string{
+				"Idempotency-Key": key, "Standin-Id": s.Key, "Standin-Service-Time": "100ms",
+			})
+			if err != nil {
+				return err
+			}
+			first := got.status == http.StatusOK && got.outcome == "Run"
+			running := got.status == http.StatusConflict && got.reason == "Running"
+			if !first && !running {
+				return errors.Newf("%s at %d: %+v", s.Key, n, got)
+			}
+			return nil
+		})
+	}
+	is.New(t).NoErr(group.Wait())
+}
+
+// owner returns the daemon that owns the key's slot.
+func (r *keyRun) owner(t *testing.T, key string) *node {
 	t.Helper()
 	name := idempotency.LeaseName("agenda", idempotency.Key{Value: key}.Slot())
 	for _, n := range r.fleet.nodes {
@@ -117,12 +148,29 @@
 			continue
 		}
 		if _, held := n.keys.holder.Held(name); held {
-			n.stop()
-			<-n.stopped
-			return
+			return n
 		}
 	}
 	t.Fatal("the slot has no owner")
+	return nil
+}
+
+// stopOwner stops the daemon that owns the key's slot, gracefully.
+func (r *keyRun) stopOwner(t *testing.T, key string) {
+	t.Helper()
+	n := r.owner(t, key)
+	n.stop()
+	<-n.stopped
+}
+
+// killOwner kills the daemon that owns the key's slot and starts another in its
+// place. A killed daemon releases no lease, so the store refuses it meanwhile.
+func (r *keyRun) killOwner(t *testing.T, key string) {
+	t.Helper()
+	n := r.owner(t, key)
+	r.store.SetFaults(memstore.Faults{Down: true})
+	r.fleet.restart(t, n, true)
+	r.store.SetFaults(memstore.Faults{})
 }
 
 // waitOwners waits until the node knows the owners of all slots.
