--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"pollenscale/io/target"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 )
@@ -65,6 +66,7 @@
 
 	balance  *balance
 	links    *links
+	meters   *meters
 	crashes  *crashes
 	keys     *keys
 	uploads  *uploads
@@ -239,11 +241,12 @@
 }
 
 func (d *Daemon) buildEntrySide() {
+	d.meters = &meters{policy: d.config.current, set: metrics.NewSet()}
 	d.Dispatch = &dispatch.Dispatcher{
 		Policy:      d.config.current,
 		Opener:      &attempt.Opener{Daemon: d.Own.Daemon, Incarnation: d.Own.Incarnation},
 		Choose:      d.choose,
-		Observe:     d.balance.observe,
+		Observe:     d.observe,
 		Called:      d.balance.called,
 		MayRetry:    d.balance.mayRetry,
 		Fingerprint: d.crashes.fingerprint,
@@ -253,6 +256,12 @@
 	d.Serve.Own = d.Dispatch.Own
 }
 
+// observe takes the result of an attempt.
+func (d *Daemon) observe(r dispatch.Result) {
+	d.balance.observe(r)
+	d.meters.attempt(r)
+}
+
 // choose subscribes to the service and picks a target.
 func (d *Daemon) choose(ctx context.Context, c dispatch.Choice) (fleet.Target, error) {
 	d.members.need(c.Request.Service)
@@ -290,7 +299,7 @@
 		FetchConfig:     d.config.answer,
 	}
 	d.PeerSide.Start()
-	d.Caller = &caller.Server{Do: d.Dispatch.Do, Log: d.Log}
+	d.Caller = &caller.Server{Do: d.meters.do(d.Dispatch.Do), Log: d.Log}
 	if d.uploads != nil {
 		d.Caller.Uploads = d.uploads
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -11,8 +11,6 @@
 	"pollenscale/core/wait"
 	"pollenscale/io/operator"
 	"pollenscale/io/platform"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -91,7 +89,7 @@
 
 // endpoints returns the functions behind the operators' port.
 func (d *Daemon) endpoints() operator.Endpoints {
-	set := metrics.NewSet()
+	set := d.meters.set
 	d.members.list.Register(set)
 	d.config.spreader.Register(set)
 	return operator.Endpoints{
