--- a/core/upload/accept.go
+++ b/core/upload/accept.go
@@ -115,7 +115,7 @@
 // discard removes a body that no record names.
 func (c *Courier) discard(ctx context.Context, object string) {
 	if err := c.Objects.Delete(ctx, object); err != nil {
-		c.Log.Warn("upload: cannot remove an unused object.", "object", object, "error", err)
+		c.Log.Warn("cannot remove an unused object.", "object", object, "error", err)
 	}
 }
 
--- a/core/upload/courier.go
+++ b/core/upload/courier.go
@@ -124,7 +124,7 @@
 		for c.Room() {
 			done, err := c.DeliverOne(ctx)
 			if err != nil {
-				c.Log.Warn("upload: cannot deliver.", "error", err)
+				c.Log.Warn("cannot deliver.", "error", err)
 			}
 			if !done || err != nil {
 				break
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -10,6 +10,7 @@
 
 	"pollenscale/core/fleet"
 	"pollenscale/internal/daemon"
+	"pollenscale/internal/logs"
 	"pollenscale/internal/settings"
 	"pollenscale/io/otlp"
 
@@ -26,13 +27,6 @@
 	memoryLimit = 36 << 20
 )
 
-var levels = map[string]slog.Level{
-	"Debug": slog.LevelDebug,
-	"Info":  slog.LevelInfo,
-	"Warn":  slog.LevelWarn,
-	"Error": slog.LevelError,
-}
-
 func newDaemon() *cobra.Command {
 	var file string
 	c := &cobra.Command{
@@ -61,7 +55,9 @@
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: levels[s.LogLevel]}))
+	if err := logs.Setup(c.ErrOrStderr(), s.LogLevel, s.LogFormat); err != nil {
+		return err
+	}
 	tuneRuntime()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -75,7 +71,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	d, err := daemon.New(s, daemon.WithLog(log), daemon.WithVersion(Version))
+	d, err := daemon.New(s, daemon.WithLog(slog.Default()), daemon.WithVersion(Version))
 	if err != nil {
 		return failed(err)
 	}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -66,10 +66,10 @@
 func (c *configuration) apply(_ context.Context, u spread.Update) error {
 	changed, err := c.holder.ApplyUpdate(configUpdate(u))
 	if changed {
-		c.log.Info("config: version in force.", "version", c.holder.Version().Number)
+		c.log.Info("version in force.", "version", c.holder.Version().Number)
 	}
 	if err != nil {
-		c.log.Warn("config: update not applied.", "error", err)
+		c.log.Warn("update not applied.", "error", err)
 	}
 	return err
 }
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -70,7 +70,7 @@
 	select {
 	case c.started <- t:
 	default:
-		c.log.Warn("poison: marks not sent.", "daemon", t.Daemon)
+		c.log.Warn("marks not sent.", "daemon", t.Daemon)
 	}
 }
 
@@ -91,7 +91,7 @@
 	defer cancel()
 	for _, r := range c.list.Snapshot() {
 		if err := c.report(ctx, t.PeerAddress, c.message(r)); err != nil {
-			c.log.Warn("poison: marks not sent.", "daemon", t.Daemon, "error", err)
+			c.log.Warn("marks not sent.", "daemon", t.Daemon, "error", err)
 			return
 		}
 	}
@@ -149,7 +149,7 @@
 	}
 	c.epoch++
 	report := c.list.Crash(ctx)
-	c.log.Warn("target: crashed.", "suspects", len(report.Suspects), "condemned", len(report.Condemned))
+	c.log.Warn("the target crashed.", "suspects", len(report.Suspects), "condemned", len(report.Condemned))
 }
 
 // send passes a report to the other daemons of the service.
@@ -159,7 +159,7 @@
 	for _, m := range c.members() {
 		group.Go(func() error {
 			if err := c.report(ctx, m.PeerAddress, message); err != nil {
-				c.log.Debug("poison: report not confirmed.", "daemon", m.Daemon, "error", err)
+				c.log.Debug("report not confirmed.", "daemon", m.Daemon, "error", err)
 			}
 			return nil
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"pollenscale/core/spread"
 	"pollenscale/core/store"
 	"pollenscale/core/wait"
+	"pollenscale/internal/logs"
 	"pollenscale/internal/settings"
 	"pollenscale/io/caller"
 	"pollenscale/io/gossip"
@@ -179,7 +180,7 @@
 	}
 	d.buildServers()
 	d.State.Changed = func(state fleet.State) {
-		d.Log.Info("target: state changed.", "state", state)
+		logs.With(d.Log, logs.Target).Info("state changed.", "state", state)
 		d.balance.setState(state)
 		d.members.setState(state)
 	}
@@ -187,8 +188,8 @@
 
 // buildState joins configuration and membership.
 func (d *Daemon) buildState() {
-	d.config = newConfiguration(d.Log, d.Settings.Policy, d.Peer, d.tables, d.objects)
-	d.members = newMembers(d.Log, d.Own, d.Settings.Seeds, d.gossipConn, d.Peer, d.tables, d.config.heard)
+	d.config = newConfiguration(logs.With(d.Log, logs.Config), d.Settings.Policy, d.Peer, d.tables, d.objects)
+	d.members = newMembers(logs.With(d.Log, logs.Member), d.Own, d.Settings.Seeds, d.gossipConn, d.Peer, d.tables, d.config.heard)
 	d.config.spreader.Announce = func(h spread.Head) { d.members.list.SetConfig(uint64(h.Version), h.Digest) }
 	d.config.spreader.Members = d.members.list.Size
 	d.config.spreader.Joined = d.joined
@@ -205,7 +206,7 @@
 	d.members.setChanged(d.balance.chooser.SetTargets)
 	d.links = newLinks(d.Own.Place.Region, d.config.current, d.members.colocated)
 	d.balance.chooser.Spare = d.links.spare
-	d.crashes = newCrashes(d.Log, d.Own)
+	d.crashes = newCrashes(logs.With(d.Log, logs.Poison), d.Own)
 	d.crashes.members = func() []fleet.Target { return d.members.others(d.Own.Service) }
 	d.crashes.report = d.reportCrash
 	d.members.colleague = d.colleague
@@ -222,6 +223,11 @@
 	}
 }
 
+// own returns the logger of the daemon as a whole.
+func (d *Daemon) own() *slog.Logger {
+	return logs.With(d.Log, logs.Daemon)
+}
+
 // joined reports whether a seed has answered, or none is configured.
 func (d *Daemon) joined() bool {
 	return len(d.Settings.Seeds) == 0 || d.members.list.Joined()
@@ -271,7 +277,7 @@
 // buildStoreUsers joins the parts that need the platform's store.
 func (d *Daemon) buildStoreUsers() {
 	size := d.members.list.Size
-	d.keys = newKeys(d.Log, d.Own, d.tables, size)
+	d.keys = newKeys(logs.With(d.Log, logs.Lease), d.Own, d.tables, size)
 	d.keys.policy = d.config.current
 	d.keys.ownerOf = d.members.ownerOf
 	d.keys.changed = d.members.setKeySlots
@@ -279,7 +285,7 @@
 	d.Dispatch.Claim = d.keys.claim
 	d.Serve.Fenced = d.keys.fenced
 	d.uploads = newUploads(d.Own, d.tables, d.objects, size)
-	d.uploads.courier.Log = d.Log
+	d.uploads.courier.Log = logs.With(d.Log, logs.Upload)
 	d.uploads.policy = d.config.current
 	d.uploads.load = d.Load
 	d.uploads.invoke = d.Serve.Invoke
@@ -299,7 +305,7 @@
 		FetchConfig:     d.config.answer,
 	}
 	d.PeerSide.Start()
-	d.Caller = &caller.Server{Do: d.meters.do(d.Dispatch.Do), Log: d.Log}
+	d.Caller = &caller.Server{Do: d.meters.do(d.Dispatch.Do), Log: logs.With(d.Log, logs.Caller)}
 	if d.uploads != nil {
 		d.Caller.Uploads = d.uploads
 	}
@@ -364,7 +370,7 @@
 			return nil
 		}
 	}, func(error) { close(quit) })
-	d.Log.Info("daemon: serving.", "callers", d.CallerAddress(), "peers", d.Own.PeerAddress, "incarnation", d.Own.Incarnation)
+	d.own().Info("serving.", "callers", d.CallerAddress(), "peers", d.Own.PeerAddress, "incarnation", d.Own.Incarnation)
 	err := g.Run()
 	d.Peer.Close()
 	d.Target.Close()
@@ -405,7 +411,7 @@
 	}, func(error) {
 		finish()
 		if err := stop(); err != nil {
-			d.Log.Debug("daemon: closing failed.", "part", part, "error", err)
+			d.own().Debug("closing failed.", "part", part, "error", err)
 		}
 	})
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"pollenscale/internal/logs"
 )
 
 // drain stops the daemon gracefully.
 func (d *Daemon) drain() error {
-	d.Log.Info("daemon: draining.")
+	d.own().Info("draining.")
 	d.State.Close()
 	d.Caller.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Drain.Duration()+d.Settings.Stop.Duration())
@@ -16,7 +18,7 @@
 		// First, so that the next owners are known before this daemon ends.
 		d.keys.release(ctx)
 		if err := d.uploads.courier.Drain(ctx); err != nil {
-			d.Log.Warn("upload: the delivery under way did not complete.", "error", err)
+			logs.With(d.Log, logs.Upload).Warn("the delivery under way did not complete.", "error", err)
 		}
 	}
 	// Entries and callers learn of the drain from probes and answers. Requests
@@ -24,14 +26,14 @@
 	time.Sleep(d.Settings.Drain.Duration())
 	// Callers first, since their requests need connections to peers.
 	if err := d.Caller.Shutdown(ctx); err != nil {
-		d.Log.Warn("daemon: requests of callers did not complete.", "error", err)
+		d.own().Warn("requests of callers did not complete.", "error", err)
 	}
 	d.waitIdle(ctx)
 	if err := d.PeerSide.Shutdown(ctx); err != nil {
-		d.Log.Warn("daemon: attempts of peers did not complete.", "error", err)
+		d.own().Warn("attempts of peers did not complete.", "error", err)
 	}
 	d.members.leave()
-	d.Log.Info("daemon: stopped.")
+	d.own().Info("stopped.")
 	return nil
 }
 
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -195,7 +195,7 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		k.log.Warn("lease: not released; it ends by itself.", "error", err)
+		k.log.Warn("not released; it ends by itself.", "error", err)
 	}
 	k.changed(nil)
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -222,7 +222,7 @@
 		if err := m.joiner.Join(ctx); err != nil {
 			return err
 		}
-		m.log.Info("member: joined.", "members", m.list.Size())
+		m.log.Info("joined.", "members", m.list.Size())
 		return m.joiner.Rejoin(ctx)
 	})
 	group.Go(func() error { return m.publishContact(ctx) })
@@ -236,7 +236,7 @@
 	}
 	for wait.For(ctx, contactInterval/2+rand.N(contactInterval)) {
 		if err := m.joiner.PublishContact(ctx); err != nil {
-			m.log.Info("member: contact not published.", "error", err)
+			m.log.Info("contact not published.", "error", err)
 		}
 	}
 	return nil
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -27,6 +27,7 @@
 	Lease       Part = "lease"
 	Idempotency Part = "idempotency"
 	Upload      Part = "upload"
+	Poison      Part = "poison"
 	Trace       Part = "trace"
 )
 
@@ -63,16 +64,30 @@
 	return slog.New(&handler{prefix: string(part) + ": "})
 }
 
-// handler prefixes messages and passes them to the default handler of the
-// moment, so that package variables may hold loggers.
+// With returns the logger of a part that passes its lines to log.
+func With(log *slog.Logger, part Part) *slog.Logger {
+	return slog.New(&handler{prefix: string(part) + ": ", next: log.Handler()})
+}
+
+// handler prefixes messages and passes them to the next handler.
 type handler struct {
 	prefix string
+	// next is nil for the default handler of the moment, so that package
+	// variables may hold loggers.
+	next slog.Handler
 	// with replays attributes and groups on the default handler.
 	with []func(slog.Handler) slog.Handler
 }
 
+func (h *handler) base() slog.Handler {
+	if h.next != nil {
+		return h.next
+	}
+	return slog.Default().Handler()
+}
+
 func (h *handler) target() slog.Handler {
-	t := slog.Default().Handler()
+	t := h.base()
 	for _, f := range h.with {
 		t = f(t)
 	}
@@ -81,7 +96,7 @@
 
 // Enabled reports whether the default handler takes the level.
 func (h *handler) Enabled(ctx context.Context, level slog.Level) bool {
-	return slog.Default().Handler().Enabled(ctx, level)
+	return h.base().Enabled(ctx, level)
 }
 
 // Handle prefixes the message and passes the record on.
@@ -106,5 +121,5 @@
 
 func (h *handler) adding(f func(slog.Handler) slog.Handler) slog.Handler {
 	with := append(append([]func(slog.Handler) slog.Handler(nil), h.with...), f)
-	return &handler{prefix: h.prefix, with: with}
+	return &handler{prefix: h.prefix, next: h.next, with: with}
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -24,6 +24,9 @@
 	log.Warn("Connection lost.", "reason", "silent")
 	is.Equal(strings.Count(out.String(), "\n"), 1)
 	is.True(strings.Contains(out.String(), `msg="peer: Connection lost." daemon=d1 reason=silent`))
+	out.Reset()
+	logs.With(slog.Default(), logs.Lease).Warn("Lease lost.")
+	is.True(strings.Contains(out.String(), `msg="lease: Lease lost."`))
 	is.True(logs.Setup(&out, "loud", logs.Text) != nil)
 	is.True(logs.Setup(&out, "info", "Yaml") != nil)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/policy"
+	"pollenscale/internal/logs"
 
 	"github.com/cockroachdb/errors"
 )
@@ -42,6 +43,8 @@
 	// Stop is the time for work under way to complete after that.
 	Stop     policy.Milliseconds `validate:"min=0,max=3600000"`
 	LogLevel string              `validate:"omitempty,oneof=Debug Info Warn Error"`
+	// LogFormat is Text or Json.
+	LogFormat logs.Format `validate:"omitempty,oneof=Text Json"`
 }
 
 // Target is the target beside the daemon.
@@ -72,7 +75,7 @@
 
 // Parse checks the settings in data.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{Drain: defaultDrain, Stop: defaultStop, LogLevel: defaultLogLevel}
+	s := &Settings{Drain: defaultDrain, Stop: defaultStop, LogLevel: defaultLogLevel, LogFormat: logs.Text}
 	s.Target.HealthPath = defaultHealthPath
 	if err := decode(data, s); err != nil {
 		return nil, err
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -138,7 +138,7 @@
 func (s *Server) refuse(w http.ResponseWriter, request *http.Request, err error) error {
 	if request.ContentLength != 0 {
 		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedTimeout)); err != nil {
-			s.Log.Debug("caller: no read deadline.", "error", err)
+			s.Log.Debug("no read deadline.", "error", err)
 		}
 	}
 	return fail(w, err)
@@ -153,7 +153,7 @@
 	r.Body = call.NewBody(&progress{body: request.Body, control: control, request: r}, request.ContentLength)
 	if request.ProtoMajor == 1 && (request.ContentLength < 0 || request.ContentLength > call.ReplayBytes) {
 		if err := control.EnableFullDuplex(); err != nil {
-			s.Log.Debug("caller: no full duplex.", "error", err)
+			s.Log.Debug("no full duplex.", "error", err)
 		}
 	}
 }
@@ -163,7 +163,7 @@
 func (s *Server) write(w http.ResponseWriter, answer *call.Answer) {
 	defer func() {
 		if err := answer.Body.Close(); err != nil {
-			s.Log.Debug("caller: closing an answer failed.", "error", err)
+			s.Log.Debug("closing an answer failed.", "error", err)
 		}
 	}()
 	p, _ := buffers.Get().(*[]byte)
@@ -193,7 +193,7 @@
 // cutOff aborts the connection or stream of an answer that is not whole.
 func (s *Server) cutOff(err error) {
 	if err != nil {
-		s.Log.Debug("caller: an answer was cut off.", "error", err)
+		s.Log.Debug("an answer was cut off.", "error", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -7,12 +7,12 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/netip"
 	"time"
 
 	"pollenscale/core/member"
+	"pollenscale/internal/logs"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -80,7 +80,7 @@
 		return nil, errors.Wrap(err, "gossip socket")
 	}
 	if err := conn.SetReadBuffer(readBuffer); err != nil {
-		slog.Warn("gossip: cannot enlarge the read buffer.", "error", err)
+		logs.For(logs.Gossip).Warn("cannot enlarge the read buffer.", "error", err)
 	}
 	return conn, nil
 }
