--- a/core/member/metrics.go
+++ b/core/member/metrics.go
@@ -25,9 +25,6 @@
 
 // Register adds the metrics of the list to a set.
 func (l *List) Register(set *metrics.Set) {
-	for _, h := range []Health{Alive, Suspect, Unreachable} {
-		set.NewGauge(`pollenscale_members{health="`+string(h)+`"}`, func() float64 { return float64(l.Counts()[h]) })
-	}
 	set.NewGauge(`pollenscale_member_refutations_total`, func() float64 { return float64(l.Stats().Refutations) })
 	set.NewGauge(`pollenscale_member_verdicts_total`, func() float64 { return float64(l.Stats().Verdicts) })
 	set.NewGauge(`pollenscale_member_oversized_total`, func() float64 { return float64(l.Stats().Oversized) })
--- a/core/spread/metrics.go
+++ b/core/spread/metrics.go
@@ -14,7 +14,6 @@
 		`pollenscale_config_fetch_failures_total{source="Peer"}`:  func(c Counts) int { return c.PeerFailures },
 		`pollenscale_config_fetch_failures_total{source="Store"}`: func(c Counts) int { return c.StoreFailures },
 		`pollenscale_config_applied_total`:                        func(c Counts) int { return c.Applied },
-		`pollenscale_config_refused_total`:                        func(c Counts) int { return c.Refused },
 		`pollenscale_config_digest_conflicts_total`:               func(c Counts) int { return c.DigestConflict },
 	} {
 		set.NewGauge(name, func() float64 { return float64(value(s.Counts())) })
--- a/internal/daemon/meters_test.go
+++ b/internal/daemon/meters_test.go
@@ -21,5 +21,14 @@
 		w := httptest.NewRecorder()
 		f.nodes[0].operators.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 		is.True(strings.Contains(w.Body.String(), c.Want+"\n"))
+		seen := map[string]bool{}
+		for line := range strings.Lines(w.Body.String()) {
+			series, _, _ := strings.Cut(line, " ")
+			if strings.HasPrefix(series, "#") {
+				continue
+			}
+			is.True(!seen[series]) // a scraper refuses a series that stands twice
+			seen[series] = true
+		}
 	}
 }
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -69,7 +69,7 @@
 	AvailabilityZone string
 	Service          string
 	State            string
-	// Health is Alive, Suspect or Dead.
+	// Health is Alive, Suspect, Unreachable or Dead.
 	Health string
 	// ConfigVersion is the last version that the member announced, 0 if none.
 	ConfigVersion uint64
@@ -144,7 +144,7 @@
 	metrics.WriteGaugeUint64(w, "pollenscale_target_running", uint64(s.Running))
 	metrics.WriteGaugeUint64(w, "pollenscale_target_queued", uint64(s.Queued))
 	metrics.WriteGaugeUint64(w, "pollenscale_uploads_parked", uint64(len(s.Parked)))
-	health := map[string]uint64{"Alive": 0, "Suspect": 0, "Dead": 0}
+	health := map[string]uint64{"Alive": 0, "Suspect": 0, "Unreachable": 0, "Dead": 0}
 	for _, m := range s.Members {
 		health[m.Health]++
 	}
