--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -83,9 +83,7 @@
 
 	// Choose returns the target of the next attempt, or an *outcome.Error.
 	Choose func(context.Context, Choice) (fleet.Target, error)
-	// Begin is called when an attempt is about to be sent, and Observe once
-	// when it has ended.
-	Begin   func(*call.Request, fleet.Target)
+	// Observe is called once when an attempt has ended.
 	Observe func(Result)
 	// Send makes one attempt. An error is an *outcome.Error. NotRun in it is
 	// binding; Unknown with ConnectionLost, DeadlineExceeded or Cancelled means
@@ -99,8 +97,6 @@
 	// Retry.MaxAttempts.
 	Called   func(*policy.Service, *call.Request)
 	MayRetry func(*policy.Service, *call.Request, retry.Attempt) Verdict
-	// Poisoned refuses a request that crashed targets before.
-	Poisoned func(*call.Request) error
 	// Fingerprint identifies a request that is sent again. The head is the
 	// first part of the body.
 	Fingerprint func(request *call.Request, head []byte) uint64
@@ -144,7 +140,7 @@
 	return d.attempts(ctx, service, r)
 }
 
-// identify reads the first part of the body and refuses poison requests.
+// identify reads the first part of the body, which the fingerprint covers.
 func (d *Dispatcher) identify(r *call.Request) error {
 	head, whole, err := r.Body.Head(r.ContentLength)
 	if err != nil {
@@ -156,9 +152,6 @@
 	if d.Fingerprint != nil {
 		r.Fingerprint = d.Fingerprint(r, head)
 	}
-	if d.Poisoned != nil {
-		return d.Poisoned(r)
-	}
 	return nil
 }
 
@@ -263,9 +256,6 @@
 func (d *Dispatcher) try(ctx context.Context, target fleet.Target, r *call.Request) (*call.Answer, error) {
 	open := d.Opener.Open(target)
 	result := Result{Request: r, Target: target, StartedAt: d.now()}
-	if d.Begin != nil {
-		d.Begin(r, target)
-	}
 	answer, err := d.Send(ctx, target, open.Ref, r)
 	if err != nil {
 		err = d.settled(ctx, target, open.Ref, err)
