core/config, core/member, io/platform: pause with core/wait

The same timer and select stood in three more places. Behaviour is unchanged. Run: the tests of the three packages and of internal/cli, and the linter.

--- a/core/config/publish.go
+++ b/core/config/publish.go
@@ -14,6 +14,7 @@
 
 	"pollenscale/core/policy"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 )
 
 const (
@@ -420,12 +421,8 @@
 	if p.Pause != nil {
 		return p.Pause(ctx, d)
 	}
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d/2+rand.N(d)) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/core/member/join.go
+++ b/core/member/join.go
@@ -10,6 +10,7 @@
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -95,14 +96,10 @@
 	if j.Sleep != nil {
 		return j.Sleep(ctx, d)
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func (j *Joiner) shuffledSeeds() []string {
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -35,6 +35,7 @@
 	"golang.org/x/time/rate"
 
 	"pollenscale/core/store"
+	"pollenscale/core/wait"
 )
 
 const (
@@ -221,11 +222,7 @@
 		if err == nil || errors.Is(err, ErrBudget) || errors.Is(err, store.ErrNotFound) || !errors.Is(err, store.ErrUnavailable) {
 			return err
 		}
-		timer := time.NewTimer(rand.N(2 * backoff))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.For(ctx, rand.N(2*backoff)) {
 			return err
 		}
 	}
