--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -192,3 +192,10 @@
 	}
 	return unannounced
 }
+
+// Restart forgets what was learned and takes the announced slots as the limit.
+func (l *Limit) Restart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = state{value: max(1, l.slots)}
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -21,6 +21,10 @@
 // ErrUnavailable is returned when the store did not answer or refused for load.
 var ErrUnavailable = errors.New("store unavailable")
 
+// ErrCompacted is returned by Tables.Watch when the changes since the version are
+// no longer known; the caller reads the rows anew.
+var ErrCompacted = errors.New("history is no longer available")
+
 // ErrNotFound is returned by Objects.Get for an object that does not exist.
 var ErrNotFound = errors.New("object not found")
 
@@ -36,6 +40,15 @@
 	Key     string
 	Value   []byte
 	Version Version
+	// Deleted is set in changes for a row that was removed.
+	Deleted bool
+}
+
+// Changes are the rows of a table that changed after a version, in order.
+type Changes struct {
+	Rows []Row
+	// Version is where the next watch continues.
+	Version Version
 }
 
 // Condition requires a row to have exactly the version; 0 requires its absence.
@@ -79,6 +92,9 @@
 	// List returns up to limit rows whose key has the prefix and is greater
 	// than after, in order of their keys.
 	List func(ctx context.Context, table Table, prefix, after string, limit int) ([]Row, error)
+	// Watch returns the changes after a version as soon as there are any, and no
+	// changes at the given time. Stores without it leave it nil.
+	Watch func(ctx context.Context, table Table, after Version, until time.Time) (Changes, error)
 }
 
 // Objects is the object store. An object is written once and never changed.
--- /dev/null
+++ b/internal/sidecar/members.go
@@ -0,0 +1,348 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/localtarget"
+	"pollenscale/core/roster"
+	"pollenscale/core/store"
+	"pollenscale/core/wait"
+	"pollenscale/io/announce"
+	"pollenscale/io/http1"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// membersTable holds one row per daemon, written by its owner.
+	membersTable store.Table = "members"
+	// listLimit is the number of rows that one call returns.
+	listLimit = 500
+	// reconcileInterval is how often the records in the store are read. Changes
+	// arrive by datagram; this finds what datagrams lost.
+	reconcileInterval = 15 * time.Second
+	// storeRetry is the pause after a failed call, with as much jitter.
+	storeRetry = 300 * time.Millisecond
+	// greetInterval is how often the own record is sent to the daemons of the own
+	// zone and to a few others, which finds daemons that restarted.
+	greetInterval = time.Second
+	// greeted is the number of daemons elsewhere that are greeted each time.
+	greeted = 2
+	// snapshotTimeout bounds the reading of another daemon's knowledge.
+	snapshotTimeout = time.Second
+)
+
+// publisher writes the own record to the store. A change that comes while a
+// write is under way is written next.
+type publisher struct {
+	wake chan struct{}
+
+	mu       sync.Mutex
+	sequence uint64
+	waiting  []chan struct{} // closed when the record of the moment is written
+	version  store.Version
+}
+
+// changed makes the own record known. The returned channel is closed when the
+// store has it.
+func (s *Sidecar) changed() <-chan struct{} {
+	written := make(chan struct{})
+	s.publisher.mu.Lock()
+	s.publisher.sequence++
+	s.publisher.waiting = append(s.publisher.waiting, written)
+	s.publisher.mu.Unlock()
+	s.roster.Offer(s.ownRecord())
+	if s.node != nil {
+		s.node.Announce(s.others())
+	}
+	select {
+	case s.publisher.wake <- struct{}{}:
+	default:
+	}
+	return written
+}
+
+// ownRecord describes this daemon and its target.
+func (s *Sidecar) ownRecord() roster.Record {
+	settings := s.settings.Load()
+	view := s.local.View()
+	s.publisher.mu.Lock()
+	sequence := s.publisher.sequence
+	s.publisher.mu.Unlock()
+	return roster.Record{
+		Daemon: s.id, Incarnation: s.incarnation, Sequence: sequence, PeerAddress: settings.Peers,
+		AnnounceAddress: settings.Announce, Place: settings.Place, Service: view.Service,
+		Target: view.ID, Born: view.Born, Slots: view.Slots, State: s.ownState(), TargetState: view.State,
+	}
+}
+
+func (s *Sidecar) ownMessage() announce.Message {
+	return announce.Message{From: s.ownRecord(), Version: s.holder.Version()}
+}
+
+// others returns the announce addresses of the other daemons.
+func (s *Sidecar) others() []string {
+	var out []string
+	for _, r := range s.roster.Records() {
+		if r.Daemon != s.id && r.AnnounceAddress != "" {
+			out = append(out, r.AnnounceAddress)
+		}
+	}
+	return out
+}
+
+// received takes over what another daemon says of itself.
+func (s *Sidecar) received(m announce.Message) {
+	if m.From.Daemon == s.id {
+		return
+	}
+	alone := s.roster.Len() <= 1
+	if s.roster.Offer(m.From) {
+		s.logMember(m.From, "datagram")
+		s.node.Send(m.From.AnnounceAddress)
+	}
+	s.roster.Heard(m.From.Daemon)
+	if alone || m.Version > s.holder.Version() {
+		s.follow(m.From.PeerAddress)
+	}
+}
+
+func (s *Sidecar) logMember(r roster.Record, source string) {
+	s.log.Info("member: changed.", "daemon", r.Daemon, "incarnation", r.Incarnation, "sequence", r.Sequence,
+		"service", r.Service, "target", r.Target, "state", r.State, "zone", r.Place.AvailabilityZone, "source", source)
+}
+
+// refreshTargets gives the known targets to the chooser.
+func (s *Sidecar) refreshTargets() { s.chooser.SetTargets(s.roster.Targets()) }
+
+// publish writes the own record whenever it changes.
+func (s *Sidecar) publish(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.publisher.wake:
+		}
+		for !s.writeRecord(ctx) {
+			if !wait.For(ctx, jittered(storeRetry)) {
+				return nil
+			}
+		}
+	}
+}
+
+// writeRecord writes the record of the moment and reports whether the store has it.
+func (s *Sidecar) writeRecord(ctx context.Context) bool {
+	p := &s.publisher
+	p.mu.Lock()
+	waiting := p.waiting
+	version := p.version
+	p.mu.Unlock()
+	value, err := json.Marshal(s.ownRecord())
+	if err != nil {
+		s.log.Error("member: record not encoded.", "error", err)
+		return true
+	}
+	result, err := s.tables.Transact(ctx, store.Transaction{
+		Conditions: []store.Condition{{Table: membersTable, Key: string(s.id), Version: version}},
+		Writes:     []store.Write{{Table: membersTable, Key: string(s.id), Value: value}},
+	})
+	if err != nil {
+		s.meters.store.lost(s.log, err)
+		return false
+	}
+	s.meters.store.regained(s.log)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !result.Committed {
+		for _, row := range result.Conflicts {
+			p.version = row.Version
+		}
+		if len(result.Conflicts) == 0 {
+			p.version = 0
+		}
+		return false
+	}
+	if len(result.Versions) > 0 {
+		p.version = result.Versions[0]
+	}
+	for _, w := range waiting {
+		close(w)
+	}
+	p.waiting = p.waiting[len(waiting):]
+	return true
+}
+
+// keepMembers reads the records of all daemons at the start and from time to
+// time, and greets daemons between.
+func (s *Sidecar) keepMembers(ctx context.Context) error {
+	for !s.readMembers(ctx, true) {
+		s.greet(0)
+		if !wait.For(ctx, jittered(storeRetry)) {
+			return nil
+		}
+	}
+	s.changed()
+	next := s.now().Add(jittered(reconcileInterval))
+	for round := 0; wait.For(ctx, jittered(greetInterval)); round++ {
+		s.greet(round)
+		if s.now().Before(next) {
+			continue
+		}
+		if s.readMembers(ctx, false) {
+			next = s.now().Add(jittered(reconcileInterval))
+		} else {
+			next = s.now().Add(jittered(storeRetry))
+		}
+	}
+	return nil
+}
+
+// greet sends the own record to the daemons of the own zone and, by turns, to a
+// few of the others.
+func (s *Sidecar) greet(round int) {
+	zone := s.settings.Load().Place.AvailabilityZone
+	var far []string
+	for _, r := range s.roster.Records() {
+		switch {
+		case r.Daemon == s.id || r.AnnounceAddress == "":
+		case r.Place.AvailabilityZone == zone:
+			s.node.Send(r.AnnounceAddress)
+		default:
+			far = append(far, r.AnnounceAddress)
+		}
+	}
+	for i := range min(greeted, len(far)) {
+		s.node.Send(far[(round*greeted+i)%len(far)])
+	}
+}
+
+// readMembers merges the records in the store.
+func (s *Sidecar) readMembers(ctx context.Context, first bool) bool {
+	after := ""
+	for {
+		rows, err := s.tables.List(ctx, membersTable, "", after, listLimit)
+		if err != nil {
+			s.meters.store.lost(s.log, err)
+			return false
+		}
+		s.meters.store.regained(s.log)
+		for _, row := range rows {
+			s.takeRow(row, first)
+			after = row.Key
+		}
+		if len(rows) < listLimit {
+			return true
+		}
+	}
+}
+
+// takeRow merges one row. The own row tells what an earlier process knew.
+func (s *Sidecar) takeRow(row store.Row, first bool) {
+	var r roster.Record
+	if err := json.Unmarshal(row.Value, &r); err != nil || string(r.Daemon) != row.Key {
+		s.log.Warn("member: row set aside.", "key", row.Key, "version", row.Version)
+		return
+	}
+	if r.Daemon == s.id {
+		if first {
+			s.restore(r, row.Version)
+		}
+		return
+	}
+	if s.roster.Offer(r) {
+		s.logMember(r, "store")
+	}
+}
+
+// restore takes over the state of the target that an earlier process recorded.
+func (s *Sidecar) restore(r roster.Record, version store.Version) {
+	s.publisher.mu.Lock()
+	s.publisher.version = version
+	s.publisher.mu.Unlock()
+	if r.Target == "" {
+		return
+	}
+	view := localtarget.View{
+		ID: r.Target, Service: r.Service, Address: s.settings.Load().Target, Born: r.Born, Slots: r.Slots, State: r.TargetState,
+	}
+	if r.TargetState == fleet.Draining {
+		view.DrainedAt = s.now()
+	}
+	if !s.local.Restore(view) {
+		return
+	}
+	s.limit.SetSlots(r.Slots)
+	s.limit.Restart()
+	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", version)
+}
+
+// snapshot is what a daemon tells another that asks for all it knows.
+type snapshot struct {
+	Records []roster.Record
+	// Config is the configuration as the operator wrote it.
+	Config []byte
+}
+
+func (s *Sidecar) serveSnapshot(w http.ResponseWriter) {
+	data, err := json.Marshal(snapshot{Records: s.roster.Records(), Config: s.holder.Raw()})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(data); err != nil {
+		s.log.Debug("member: snapshot not sent.", "error", err)
+	}
+}
+
+// follow asks for the knowledge of a daemon that knows more. A request that
+// comes while another is waiting is dropped.
+func (s *Sidecar) follow(address string) {
+	select {
+	case s.news <- address:
+	default:
+	}
+}
+
+// followNews reads the snapshots of daemons that know more.
+func (s *Sidecar) followNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case address := <-s.news:
+			if err := s.readSnapshot(ctx, address); err != nil {
+				s.log.Info("member: snapshot not read.", "from", address, "error", err)
+			}
+		}
+	}
+}
+
+func (s *Sidecar) readSnapshot(ctx context.Context, address string) error {
+	r, err := s.peer(address).Do(ctx, &http1.Request{
+		Method: http.MethodGet, Target: "/", Host: address, Header: http.Header{hopCall: {callSnapshot}},
+		Deadline: s.now().Add(snapshotTimeout),
+	})
+	if err != nil {
+		return err
+	}
+	var got snapshot
+	err = json.NewDecoder(r).Decode(&got)
+	if err = errors.CombineErrors(err, r.Close()); err != nil {
+		return err
+	}
+	for _, record := range got.Records {
+		if record.Daemon != s.id && s.roster.Offer(record) {
+			s.logMember(record, address)
+		}
+	}
+	if len(got.Config) > 0 {
+		s.offerConfig(got.Config, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/private.go
@@ -0,0 +1,198 @@
+package sidecar
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pollenscale/core/attempt"
+	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
+	"pollenscale/core/route"
+)
+
+// Header fields between daemons. Clients cannot set them: the entry removes
+// them from requests, and answers leave the entry without them.
+const (
+	privatePrefix = "Pollenscale-"
+	// hopAttempt names an attempt: entry, its incarnation, sequence, lowest open
+	// sequence, addressed incarnation.
+	hopAttempt = "Pollenscale-Attempt"
+	// hopTerms are the terms of an attempt: service, priority, caller's service,
+	// milliseconds to the deadline, milliseconds to the latest start (-1: none),
+	// and whether the request is idempotent.
+	hopTerms = "Pollenscale-Terms"
+	// hopVersion is the configuration version of the sender, with the address
+	// from which a newer configuration can be read.
+	hopVersion = "Pollenscale-Version"
+	// hopOutcome is set on answers that the target did not make: the outcome,
+	// reason, whether the target saw the request, and milliseconds to a useful retry.
+	hopOutcome = "Pollenscale-Outcome"
+	// hopLoad is the load of the target.
+	hopLoad = "Pollenscale-Load"
+	// hopCall is set on calls of daemons that are no attempts.
+	hopCall = "Pollenscale-Call"
+)
+
+// The calls of daemons.
+const (
+	callSettle   = "Settle"
+	callSnapshot = "Snapshot"
+)
+
+// terms are what the entry decided about an attempt.
+type terms struct {
+	service    fleet.Service
+	priority   int
+	caller     fleet.Service
+	deadline   time.Time
+	startBy    time.Time
+	idempotent bool
+}
+
+func writeAttempt(h http.Header, ref attempt.Ref) {
+	h[hopAttempt] = []string{strings.Join([]string{
+		string(ref.ID.Daemon), ref.ID.Incarnation.String(), strconv.FormatUint(uint64(ref.ID.Sequence), 10),
+		strconv.FormatUint(uint64(ref.OpenFrom), 10), ref.Target.String(),
+	}, " ")}
+}
+
+func readAttempt(h http.Header) (attempt.Ref, bool) {
+	f := strings.Fields(h.Get(hopAttempt))
+	if len(f) != 5 {
+		return attempt.Ref{}, false
+	}
+	var n [4]uint64
+	for i := range n {
+		v, err := strconv.ParseUint(f[i+1], 10, 64)
+		if err != nil {
+			return attempt.Ref{}, false
+		}
+		n[i] = v
+	}
+	return attempt.Ref{
+		ID:       attempt.ID{Daemon: fleet.DaemonID(f[0]), Incarnation: fleet.Incarnation(n[0]), Sequence: attempt.Sequence(n[1])},
+		OpenFrom: attempt.Sequence(n[2]), Target: fleet.Incarnation(n[3]),
+	}, true
+}
+
+func writeTerms(h http.Header, t terms, now time.Time) {
+	start := int64(-1)
+	if !t.startBy.IsZero() {
+		start = max(0, t.startBy.Sub(now).Microseconds())
+	}
+	h[hopTerms] = []string{strings.Join([]string{
+		string(t.service), strconv.Itoa(t.priority), string(t.caller),
+		strconv.FormatInt(t.deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(start, 10),
+		strconv.FormatBool(t.idempotent),
+	}, " ")}
+}
+
+func readTerms(h http.Header, now time.Time) (terms, bool) {
+	f := strings.Split(h.Get(hopTerms), " ")
+	if len(f) != 6 {
+		return terms{}, false
+	}
+	priority, err1 := strconv.Atoi(f[1])
+	left, err2 := strconv.ParseInt(f[3], 10, 64)
+	start, err3 := strconv.ParseInt(f[4], 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		return terms{}, false
+	}
+	t := terms{
+		service: fleet.Service(f[0]), priority: priority, caller: fleet.Service(f[2]),
+		deadline: now.Add(time.Duration(left) * time.Microsecond), idempotent: f[5] == "true",
+	}
+	if start >= 0 {
+		t.startBy = now.Add(time.Duration(start) * time.Microsecond)
+	}
+	return t, true
+}
+
+// verdict is an outcome as it travels between daemons.
+type verdict struct {
+	err *outcome.Error
+	// arrived is set when the target itself turned the request away.
+	arrived bool
+}
+
+func writeVerdict(h http.Header, v verdict, now time.Time) {
+	wait := int64(-1)
+	if !v.err.RetryAt.IsZero() {
+		wait = max(0, v.err.RetryAt.Sub(now).Milliseconds())
+	}
+	h[hopOutcome] = []string{strings.Join([]string{
+		string(v.err.Outcome), string(v.err.Reason), strconv.FormatBool(v.arrived), strconv.FormatInt(wait, 10), v.err.Detail,
+	}, " ")}
+}
+
+func readVerdict(h http.Header, now time.Time) (verdict, bool) {
+	f := strings.SplitN(h.Get(hopOutcome), " ", 5)
+	if len(f) != 5 || !outcome.Outcome(f[0]).Valid() {
+		return verdict{}, false
+	}
+	v := verdict{err: outcome.New(outcome.Outcome(f[0]), outcome.Reason(f[1]), f[4]), arrived: f[2] == "true"}
+	if wait, err := strconv.ParseInt(f[3], 10, 64); err == nil && wait >= 0 {
+		v.err.RetryAt = now.Add(time.Duration(wait) * time.Millisecond)
+	}
+	return v, true
+}
+
+func writeLoad(h http.Header, l fleet.Load) {
+	h[hopLoad] = []string{strings.Join([]string{
+		strconv.FormatUint(l.Sequence, 10), string(l.State), strconv.Itoa(int(l.Slots)),
+		strconv.Itoa(int(l.Running)), strconv.Itoa(int(l.Queued)),
+		strconv.FormatInt(l.WaitLow.Microseconds(), 10), strconv.FormatInt(l.WaitUrgent.Microseconds(), 10),
+		strconv.FormatInt(l.Service.Microseconds(), 10),
+	}, " ")}
+}
+
+func readLoad(h http.Header, t *fleet.Target) (fleet.Load, bool) {
+	f := strings.Fields(h.Get(hopLoad))
+	if len(f) != 8 {
+		return fleet.Load{}, false
+	}
+	var n [8]int64
+	for i, text := range f {
+		if i == 1 {
+			continue
+		}
+		v, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return fleet.Load{}, false
+		}
+		n[i] = v
+	}
+	return fleet.Load{
+		Daemon: t.Daemon, Incarnation: t.Incarnation, Sequence: uint64(n[0]), State: fleet.State(f[1]),
+		Slots: fleet.Slots(n[2]), Running: uint32(n[3]), Queued: uint32(n[4]),
+		WaitLow:    time.Duration(n[5]) * time.Microsecond,
+		WaitUrgent: time.Duration(n[6]) * time.Microsecond,
+		Service:    time.Duration(n[7]) * time.Microsecond,
+	}, true
+}
+
+func writeVersion(h http.Header, v route.Version, address string) {
+	h[hopVersion] = []string{strconv.FormatUint(uint64(v), 10) + " " + address}
+}
+
+func readVersion(h http.Header) (route.Version, string) {
+	text, address, _ := strings.Cut(h.Get(hopVersion), " ")
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, ""
+	}
+	return route.Version(v), address
+}
+
+// splitList splits a comma-separated header value.
+func splitList(list string) []string {
+	var out []string
+	for part := range strings.SplitSeq(list, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sidecar/settings.go
@@ -0,0 +1,33 @@
+package sidecar
+
+import (
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/retry"
+)
+
+// Settings are what a daemon is told about its VM and its surroundings.
+type Settings struct {
+	Name  string
+	IP    string
+	Place fleet.Place
+	// Callers, Peers, Ready, Control, Announce and Metrics are the addresses on
+	// which the daemon listens: for clients and the target's own calls, for other
+	// daemons, for the question whether it takes clients, for the target's
+	// heartbeats, for datagrams of daemons, and for metrics.
+	Callers, Peers, Ready, Control, Announce, Metrics string
+	// Seeds are addresses of other daemons, which may be stale; often empty.
+	Seeds []string
+	// Target is the address of the target beside the daemon, Service what it runs.
+	Target  string
+	Service fleet.Service
+	// Store is the address of the platform's store.
+	Store string
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	// Drain is how long after an acknowledged drain requests may reach the target.
+	Drain time.Duration
+	// Retries are the bounds that all daemons keep together.
+	Retries retry.Terms
+}
--- /dev/null
+++ b/internal/sidecar/target.go
@@ -0,0 +1,243 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"pollenscale/core/admit"
+	"pollenscale/core/attempt"
+	"pollenscale/core/exchange"
+	"pollenscale/core/fleet"
+	"pollenscale/core/localtarget"
+	"pollenscale/core/outcome"
+	"pollenscale/core/policy"
+	"pollenscale/io/http1"
+
+	"github.com/cockroachdb/errors"
+)
+
+// priorities is the number of ranks that the queue of a target tells apart.
+const priorities = 4
+
+// ranks returns the ranks of a target's queue, by priority.
+func ranks() *policy.Service {
+	p := &policy.Service{DefaultRank: rankOf(priorities - 1)}
+	for i := range priorities {
+		p.Ranks = append(p.Ranks, policy.Rank{Name: rankOf(i), Worth: policy.Worth(priorities - i)})
+	}
+	return p
+}
+
+func rankOf(priority int) fleet.Rank {
+	return fleet.Rank(strconv.Itoa(min(max(priority, 0), priorities-1)))
+}
+
+// work is an attempt at the daemon beside its target.
+type work struct {
+	id     exchange.RequestID
+	method string
+	target string
+	host   string
+	header http.Header
+	body   io.Reader
+	length int64
+	terms  terms
+	// start records that the request is about to be sent to the target; it fails
+	// when the attempt was settled as not run.
+	start func() error
+}
+
+// runHere runs an attempt of this daemon at the target beside it.
+func (s *Sidecar) runHere(ctx context.Context, q *request, t terms) (*answer, verdict) {
+	return s.runWork(ctx, &work{
+		id: q.ID, method: q.method, target: q.target, host: q.host, header: q.header.Clone(),
+		body: q.reader(), length: q.length, terms: t, start: func() error { return nil },
+	})
+}
+
+// servePeer serves the attempts and calls of other daemons.
+func (s *Sidecar) servePeer(w http.ResponseWriter, r *http.Request) {
+	now := s.now()
+	if v, address := readVersion(r.Header); v > s.holder.Version() {
+		s.follow(address)
+	}
+	writeVersion(w.Header(), s.holder.Version(), s.settings.Load().Peers)
+	switch r.Header.Get(hopCall) {
+	case callSettle:
+		s.serveSettle(w, r)
+		return
+	case callSnapshot:
+		s.serveSnapshot(w)
+		return
+	}
+	ref, ok := readAttempt(r.Header)
+	t, ok2 := readTerms(r.Header, now)
+	if !ok || !ok2 {
+		http.Error(w, "no attempt", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(answerMargin/2))
+	defer cancel()
+	a, v := s.serveAttempt(ctx, r, ref, t, cancel)
+	if v.err == nil {
+		if err := s.passOn(w, a, r.Method == http.MethodHead); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	s.writeLoad(w.Header())
+	writeVerdict(w.Header(), v, s.now())
+	status := http.StatusBadGateway
+	if v.err.Outcome == outcome.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+}
+
+func (s *Sidecar) passOn(w http.ResponseWriter, a *answer, head bool) error {
+	h := w.Header()
+	s.writeLoad(h)
+	return a.writeTo(w, head)
+}
+
+func (s *Sidecar) writeLoad(h http.Header) {
+	l := s.queue.Load(s.now())
+	l.State = s.ownState()
+	writeLoad(h, l)
+}
+
+// serveAttempt records an attempt and runs it.
+func (s *Sidecar) serveAttempt(ctx context.Context, r *http.Request, ref attempt.Ref, t terms, cancel func()) (*answer, verdict) {
+	record, err := s.table.Begin(ref, cancel)
+	if err != nil {
+		return nil, verdict{err: asOutcome(err)}
+	}
+	body, length := io.Reader(r.Body), r.ContentLength
+	if length == 0 {
+		body = nil
+	}
+	a, v := s.runWork(ctx, &work{
+		id: s.protocol.ReadRequest(r.Header, s.now()).ID, method: r.Method, target: r.RequestURI, host: r.Host,
+		header: forwarded(r.Header), body: body, length: length, terms: t, start: record.Start,
+	})
+	record.Finish(errOutcome(v.err))
+	return a, v
+}
+
+// serveSettle answers the question what became of an attempt.
+func (s *Sidecar) serveSettle(w http.ResponseWriter, r *http.Request) {
+	ref, ok := readAttempt(r.Header)
+	if !ok {
+		http.Error(w, "no attempt", http.StatusBadRequest)
+		return
+	}
+	settled := s.table.Settle(ref)
+	s.log.Info("target: attempt settled.", "entry", ref.ID.Daemon, "sequence", ref.ID.Sequence, "outcome", settled.Outcome, "running", settled.Running)
+	writeVerdict(w.Header(), verdict{err: failure(settled.Outcome, outcome.StaleAttempt, "settled")}, s.now())
+	w.WriteHeader(http.StatusOK)
+}
+
+// runWork admits a request to the target beside the daemon and runs it.
+func (s *Sidecar) runWork(ctx context.Context, w *work) (*answer, verdict) {
+	s.served.Add(1)
+	defer s.served.Add(-1)
+	view := s.local.View()
+	if v := s.turnAway(view, w); v.err != nil {
+		s.logRefusal(w, v.err)
+		return nil, v
+	}
+	ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy})
+	if err != nil {
+		e := asOutcome(err)
+		s.logRefusal(w, e)
+		return nil, verdict{err: e}
+	}
+	// The target may have changed while the request was queued.
+	view = s.local.View()
+	if v := s.turnAway(view, w); v.err != nil {
+		ticket.Return()
+		s.logRefusal(w, v.err)
+		return nil, v
+	}
+	if err := w.start(); err != nil {
+		ticket.Return()
+		return nil, verdict{err: asOutcome(err)}
+	}
+	a, v := s.exchange(ctx, w, view)
+	switch {
+	case v.err != nil && v.err.Outcome == outcome.NotRun:
+		ticket.Return()
+	case v.err != nil || a.status >= http.StatusInternalServerError:
+		ticket.Fail()
+	default:
+		ticket.Release()
+	}
+	if v.err != nil {
+		s.log.Info("target: failed.", "request", w.id, "target", view.ID, "outcome", v.err.Outcome, "reason", v.err.Reason, "detail", v.err.Detail)
+	}
+	return a, v
+}
+
+// turnAway refuses requests that the target must not or cannot run.
+func (s *Sidecar) turnAway(view localtarget.View, w *work) verdict {
+	switch {
+	case view.ID == "":
+		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "no target has announced itself")}
+	case view.Service != w.terms.service:
+		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "the target runs another service")}
+	case !view.State.TakesWork():
+		return verdict{err: failure(outcome.NotRun, outcome.Draining, "the target is draining")}
+	}
+	return verdict{}
+}
+
+func (s *Sidecar) logRefusal(w *work, e *outcome.Error) {
+	s.log.Info("target: refused.", "request", w.id, "reason", e.Reason, "detail", e.Detail, "priority", w.terms.priority)
+}
+
+// exchange sends the request to the target and reads its answer.
+func (s *Sidecar) exchange(ctx context.Context, w *work, view localtarget.View) (*answer, verdict) {
+	now := s.now()
+	s.protocol.WriteRequest(w.header, exchange.Forward{
+		ID: w.id, Deadline: w.terms.deadline, Target: view.ID, Caller: w.terms.caller,
+	}, now)
+	r, err := s.target.Load().Do(ctx, &http1.Request{
+		Method: w.method, Target: w.target, Host: w.host, Header: w.header, Body: w.body, Length: w.length,
+		Fresh: !w.terms.idempotent, Deadline: w.terms.deadline.Add(answerMargin),
+		Belongs: func(h http.Header) bool { return w.id == "" || s.protocol.ReadAnswer(0, h).ID == w.id },
+	})
+	if err != nil {
+		return nil, s.targetFailed(ctx, err)
+	}
+	said := s.protocol.ReadAnswer(r.Status, r.Header)
+	a, err := readAnswer(r)
+	if said.NotExecuted {
+		if a != nil {
+			err = errors.CombineErrors(err, a.close())
+		}
+		if err != nil {
+			s.log.Debug("target: refusal not read whole.", "error", err)
+		}
+		e := failure(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status))
+		return nil, verdict{err: e, arrived: true}
+	}
+	if err != nil {
+		return nil, s.targetFailed(ctx, err)
+	}
+	if r.Status < http.StatusMultipleChoices && !said.Genuine {
+		return nil, verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
+	}
+	return a, verdict{}
+}
+
+func (s *Sidecar) targetFailed(ctx context.Context, err error) verdict {
+	if errors.Is(err, http1.ErrNotSent) {
+		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "the target does not accept connections")}
+	}
+	if ctx.Err() != nil {
+		return verdict{err: ended(ctx)}
+	}
+	return verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "connection to the target lost: "+err.Error())}
+}
--- /dev/null
+++ b/io/http1/pool.go
@@ -0,0 +1,179 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Within a site it takes
+	// 20 ms; a lost opening packet is sent again after a second.
+	dialTimeout = 400 * time.Millisecond
+	// maxIdle is how long an idle connection is kept when the peer says nothing.
+	maxIdle = 8 * time.Second
+	// freshIdle is the longest idle time of a connection for a request that
+	// cannot be repeated.
+	freshIdle = 2 * time.Second
+	// idleMargin is kept before the time at which the peer closes.
+	idleMargin = time.Second
+	// unackedTimeout bounds how long sent bytes may stay without an acknowledgement.
+	unackedTimeout = 1500 * time.Millisecond
+)
+
+// Pool keeps the connections to one address.
+type Pool struct {
+	// OnError receives errors that change nothing else.
+	OnError func(error)
+	// OnDial is called for each connection that is opened.
+	OnDial func()
+
+	address string
+	own     string
+	maxKept int
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// Option changes a pool under construction.
+type Option func(*Pool)
+
+// WithMaxKept bounds the idle connections.
+func WithMaxKept(n int) Option { return func(p *Pool) { p.maxKept = n } }
+
+// WithSource sets the local IP address of the connections.
+func WithSource(ip string) Option { return func(p *Pool) { p.own = ip } }
+
+// New returns a pool for an address.
+func New(address string, options ...Option) *Pool {
+	p := &Pool{address: address, maxKept: 32, OnError: func(error) {}, OnDial: func() {}}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Address returns the address of the peer.
+func (p *Pool) Address() string { return p.address }
+
+// Do sends a request. An error marked ErrNotSent means that nothing of it left
+// this process; after any other error it may have reached the peer.
+func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	c := p.take(r.Fresh)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, r.Deadline); err != nil {
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
+	return c.exchange(ctx, r)
+}
+
+func (p *Pool) dial(ctx context.Context, deadline time.Time) (*conn, error) {
+	limit := time.Now().Add(dialTimeout)
+	if !deadline.IsZero() && deadline.Before(limit) {
+		limit = deadline
+	}
+	d := net.Dialer{Deadline: limit, KeepAliveConfig: net.KeepAliveConfig{Enable: false}, Control: setOptions}
+	p.OnDial()
+	nc, err := d.DialContext(ctx, "tcp4", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn: nc, pool: p,
+		reader: bufio.NewReaderSize(nc, bufferBytes), writer: bufio.NewWriterSize(nc, bufferBytes),
+	}, nil
+}
+
+// setOptions bounds how long a connection may stay silent while bytes are under way.
+func setOptions(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
+// take returns the connection that was used last, or nil.
+func (p *Pool) take(fresh bool) *conn {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle[n-1] = nil
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if c.idleUntil.After(now) && (!fresh || now.Sub(c.idleSince) < freshIdle) && c.quiet() {
+			return c
+		}
+		c.discard()
+	}
+}
+
+func (p *Pool) put(c *conn, idle time.Duration) {
+	if c.spoiled || c.reader.Buffered() > 0 {
+		c.discard()
+		return
+	}
+	now := time.Now()
+	if idle == 0 || idle > maxIdle {
+		idle = maxIdle
+	}
+	c.idleUntil = now.Add(idle - min(idleMargin, idle/4))
+	c.idleSince = now
+	p.mu.Lock()
+	full := p.closed || len(p.idle) >= p.maxKept
+	if !full {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if full {
+		c.discard()
+	}
+}
+
+// Sweep closes connections whose idle time is over.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	var over []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.idleUntil.After(now) {
+			kept = append(kept, c)
+		} else {
+			over = append(over, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range over {
+		c.discard()
+	}
+}
+
+// Close closes the idle connections and keeps no others.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.discard()
+	}
+}
