core/slowdown, core/admit: start work only while the target is not slowed down

Cause: work keeps the speed with which it starts. A quarter of all requests started in a slow phase and most of them missed their objective.

Ruled out: phases aligned to a fixed grid (the share of windows with one value falls steadily with their length).

Change: the target's daemon probes before a start unless an answer told within 4 ms, pauses its queue in a slow phase, and probes every 15 ms while requests wait.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -40,6 +40,10 @@
 	// longer queue serves no more requests, but those near their deadline finish
 	// late: with 1 the most urgent flood wastes 20% of the slot time, with 0.5 5%.
 	queuePart = 0.5
+	// pauseWeight is the weight of one pause in their smoothed length.
+	pauseWeight = 1.0 / 8
+	// minPause is the least expected length of a pause in seconds.
+	minPause = 0.02
 	// maxQueued bounds the queue in requests per slot.
 	maxQueued = 64
 )
@@ -72,6 +76,9 @@
 	queued   int
 	sequence uint64
 	mean     float64 // smoothed service time in seconds
+	paused   bool    // nothing starts until Resume
+	pause    float64 // smoothed length of a pause in seconds
+	waitedAt time.Time // since when a request waits for the end of the pause
 	decided  []decision
 }
 
@@ -201,6 +208,9 @@
 	t.state = queued
 	t.rank.push(t, weight)
 	q.queued++
+	if q.paused && q.waitedAt.IsZero() {
+		q.waitedAt = now
+	}
 	q.startNext(now)
 	q.yield(position, now)
 	q.trim(now)
@@ -224,6 +234,45 @@
 	invariant.Check(q.queued >= 0 && q.running >= 0, "admit_counts", "queued %d, running %d", q.queued, q.running)
 }
 
+// Pause stops the start of requests, as while the target is slowed down for a
+// moment. Requests that cannot wait for the expected end of the pause are
+// refused.
+func (q *Queue) Pause() {
+	now := q.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.paused {
+		return
+	}
+	q.paused, q.waitedAt = true, time.Time{}
+	if q.queued > 0 {
+		q.waitedAt = now
+	}
+}
+
+// Resume ends a pause and starts what waited for it. Only the time for which
+// requests waited counts for the expected length: nobody looks for the end of a
+// pause when nothing waits.
+func (q *Queue) Resume() {
+	now := q.Now()
+	q.mu.Lock()
+	if q.paused {
+		q.paused = false
+		if !q.waitedAt.IsZero() {
+			q.pause += (now.Sub(q.waitedAt).Seconds() - q.pause) * pauseWeight
+		}
+		q.startNext(now)
+	}
+	q.unlockAndDecide()
+}
+
+// Paused reports whether the start of requests is stopped, and how many wait.
+func (q *Queue) Paused() (paused bool, queued int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.paused, q.queued
+}
+
 // free returns the number of free slots. Slots held after failures are taken
 // until the usual service time is over.
 func (q *Queue) free(now time.Time) int {
@@ -232,6 +281,9 @@
 		over++
 	}
 	q.held = slices.Delete(q.held, 0, over)
+	if q.paused {
+		return 0
+	}
 	return q.limit.Value() - q.running - len(q.held)
 }
 
@@ -311,8 +363,14 @@
 // floor.
 func (q *Queue) wait(position, n int) time.Duration {
 	slots := q.limit.Value()
+	paused := 0.0
+	if q.paused {
+		// Pauses end at random: however long one has lasted, it is expected to last
+		// as long again.
+		paused = max(q.pause, minPause)
+	}
 	if q.running+len(q.held) < slots && q.queued == 0 {
-		return 0
+		return seconds(paused)
 	}
 	left := 1.0
 	above := 0
@@ -327,7 +385,7 @@
 	if k.floor > 0 {
 		ahead = min(ahead, float64(n)/k.floor)
 	}
-	return seconds(perSlot * ahead)
+	return seconds(paused + perSlot*ahead)
 }
 
 // yield refuses the last queued requests of the ranks from a position on that
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -92,6 +92,8 @@
 	}
 	s.setTarget(address)
 	s.limit.Restart()
+	s.slowdown.Reset()
+	s.queue.Resume()
 }
 
 // ownState is the state of the target as other daemons should see it.
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -14,6 +14,7 @@
 type meters struct {
 	set         *metrics.Set
 	targetDials *metrics.Counter
+	probes      *metrics.Counter
 	version     *metrics.Gauge
 	store       *dependency
 }
@@ -23,6 +24,7 @@
 	return meters{
 		set:         set,
 		targetDials: set.NewCounter("pollenscale_target_connections_total"),
+		probes:      set.NewCounter("pollenscale_target_probes_total"),
 		version:     set.NewGauge("pollenscale_config_version", nil),
 		store:       &dependency{name: "store"},
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -25,12 +25,14 @@
 	"pollenscale/core/retry"
 	"pollenscale/core/roster"
 	"pollenscale/core/route"
+	"pollenscale/core/slowdown"
 	"pollenscale/core/store"
 	"pollenscale/core/wait"
 	"pollenscale/io/announce"
 	"pollenscale/io/http1"
 
 	"github.com/oklog/run"
+	"golang.org/x/sync/singleflight"
 )
 
 // Sidecar is the daemon. Use New.
@@ -56,6 +58,10 @@
 	queue  *admit.Queue
 	target atomic.Pointer[http1.Pool]
 
+	slowdown slowdown.Tracker
+	probing  singleflight.Group
+	slowed   chan struct{} // wakes followSlowdown
+
 	mu      sync.Mutex
 	peers   map[string]*http1.Pool
 	budgets map[fleet.Service]*retry.Shared
@@ -88,6 +94,7 @@
 		peers:       make(map[string]*http1.Pool),
 		budgets:     make(map[fleet.Service]*retry.Shared),
 		news:        make(chan string, 1),
+		slowed:      make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(s)
@@ -151,6 +158,7 @@
 	add(s.keepMembers)
 	add(s.publish)
 	add(s.followNews)
+	add(s.followSlowdown)
 	add(s.handleSignals)
 	add(func(ctx context.Context) error { return wait.Every(ctx, refreshInterval, s.refresh) })
 	add(func(ctx context.Context) error { return wait.Every(ctx, sweepInterval, s.sweep) })
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -148,11 +148,10 @@
 		s.logRefusal(w, v.err)
 		return nil, v
 	}
-	ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy})
-	if err != nil {
-		e := asOutcome(err)
-		s.logRefusal(w, e)
-		return nil, verdict{err: e}
+	ticket, v := s.enter(ctx, w)
+	if v.err != nil {
+		s.logRefusal(w, v.err)
+		return nil, v
 	}
 	// The target may have changed while the request was queued.
 	view = s.local.View()
@@ -180,6 +179,21 @@
 	return a, v
 }
 
+// enter waits for a slot at a moment at which the target is not slowed down.
+func (s *Sidecar) enter(ctx context.Context, w *work) (*admit.Ticket, verdict) {
+	s.refreshPause(ctx)
+	for {
+		ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy})
+		if err != nil {
+			return nil, verdict{err: asOutcome(err)}
+		}
+		if !s.slowNow(ctx) {
+			return ticket, verdict{}
+		}
+		ticket.Return()
+	}
+}
+
 // turnAway refuses requests that the target must not or cannot run.
 func (s *Sidecar) turnAway(view localtarget.View, w *work) verdict {
 	switch {
@@ -212,6 +226,7 @@
 		return nil, s.targetFailed(ctx, err)
 	}
 	said := s.protocol.ReadAnswer(r.Status, r.Header)
+	s.observeLoad(said.Load, s.now())
 	a, err := readAnswer(r)
 	if said.NotExecuted {
 		if a != nil {
