io/http1, core/choice: send long bodies after a slot is granted, stay at home while it answers in time

Links of 10 Mbit/s were full; a refusal took 200 ms and bookings failed with their nested calls. Requests also left the region whenever both targets at home paused.

Ruled out: too few slots at the upload service (3.4 of 12 busy on average).

Change: bodies over 16 KB are offered and sent when the target's daemon has a slot. A request leaves the region only if no target at home answers within the objective; long bodies leave the zone only then, and the region only if no target there takes work.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -61,6 +61,13 @@
 	Service fleet.Service
 	// Urgent requests are compared by the wait of the most urgent rank.
 	Urgent bool
+	// InTime is when the answer should be there, zero if that is not known. As
+	// long as a target at home promises it, the request stays at home.
+	InTime time.Time
+	// Bulk requests carry long bodies, which make distance expensive: they leave
+	// the zone as others leave the region, and the region only when no target
+	// there takes work.
+	Bulk bool
 	// Tried are the targets that refused the request, in order.
 	Tried []fleet.DaemonID
 	// Hint is a target that a refusal named, if any.
@@ -262,6 +269,9 @@
 		if t == elsewhere && (best != nil || !c.spills(g, r, now)) {
 			break
 		}
+		if t == ownRegion && r.Bulk && c.late(c.shortestOf(g, r, now, ownZone, ownZone), r, now) == stays {
+			continue
+		}
 		nodes := g.tiers[t]
 		for range min(sampled, len(nodes)) {
 			n := c.untried(nodes, r.Tried)
@@ -299,11 +309,35 @@
 	return nil
 }
 
-// spills reports whether a request should leave the region: there is no target
-// at home, or the shortest reported wait at home exceeds the way there and back.
+// leave says whether a request should go farther than to a target.
+type leave bool
+
+const (
+	stays leave = false
+	goes  leave = true
+)
+
+// spills reports whether a request should leave the region.
 func (c *Chooser) spills(g *group, r Request, now time.Time) bool {
 	n := c.shortestOf(g, r, now, ownZone, ownRegion)
-	return n == nil || n.wait(r.Urgent, now) > 2*c.delays.Elsewhere
+	if r.Bulk {
+		return n == nil
+	}
+	return c.late(n, r, now) == goes
+}
+
+// late reports whether a request should go farther than to n, the target with
+// the shortest wait so far: there is none, or it would answer too late. Without
+// a time by which the answer should be there, the request goes when the wait
+// exceeds the way to another region and back.
+func (c *Chooser) late(n *node, r Request, now time.Time) leave {
+	switch {
+	case n == nil:
+		return goes
+	case r.InTime.IsZero():
+		return leave(n.wait(r.Urgent, now) > 2*c.delays.Elsewhere)
+	}
+	return leave(now.Add(n.wait(r.Urgent, now) + n.serviceTime()).After(r.InTime))
 }
 
 // shortest returns the target at which to queue.
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -17,6 +17,9 @@
 const (
 	// settleTimeout bounds the question what became of an attempt.
 	settleTimeout = 400 * time.Millisecond
+	// bulkBytes is the length from which a body is sent only after the target's
+	// daemon has a slot for it. On a link of 10 Mbit/s it takes 13 ms.
+	bulkBytes = 16 << 10
 	// answerMargin is added to the deadline that a target is given, so that its
 	// own answer at the deadline arrives first.
 	answerMargin = 60 * time.Millisecond
@@ -31,6 +34,7 @@
 	for {
 		c, err := s.chooser.Pick(choice.Request{
 			Service: q.service, Urgent: q.route.Priority == 0, Tried: q.tried, Final: q.redirects >= maxRedirects,
+			InTime: q.inTime(), Bulk: q.bulk(),
 		})
 		if err != nil {
 			if last != nil {
@@ -76,6 +80,19 @@
 	}
 }
 
+// inTime is when the answer should be there: within the objective of the route,
+// or by the deadline when that has passed.
+func (q *request) inTime() time.Time {
+	at := q.arrivedAt.Add(q.route.Objective)
+	if q.route.Objective <= 0 || at.After(q.deadline) || !at.After(time.Now()) {
+		return q.deadline
+	}
+	return at
+}
+
+// bulk reports whether the body is long enough to make distance expensive.
+func (q *request) bulk() bool { return q.length > bulkBytes || q.stream != nil }
+
 // worthRepeating reports whether an answer is a failure that another target may
 // not share.
 func (s *Sidecar) worthRepeating(q *request, a *answer) bool {
@@ -126,7 +143,7 @@
 	writeVersion(header, s.holder.Version(), s.settings.Load().Peers)
 	r, err := s.peer(to.PeerAddress).Do(ctx, &http1.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.reader(), Length: q.length,
-		Deadline: q.deadline.Add(answerMargin),
+		Deadline: q.deadline.Add(answerMargin), Offer: q.bulk(),
 	})
 	if err != nil {
 		return nil, s.peerFailed(ctx, to, err)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"pollenscale/core/localtarget"
 	"pollenscale/core/outcome"
 	"pollenscale/core/policy"
+	"pollenscale/core/wait"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -153,7 +155,11 @@
 		s.logRefusal(w, v.err)
 		return nil, v
 	}
-	// The target may have changed while the request was queued.
+	if err := s.receive(ctx, w); err != nil {
+		ticket.Return()
+		return nil, verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "body not received: "+err.Error())}
+	}
+	// The target may have changed in the meantime.
 	view = s.local.View()
 	if v := s.turnAway(view, w); v.err != nil {
 		ticket.Return()
@@ -194,6 +200,26 @@
 	}
 }
 
+// receive reads a long body before the request starts, so that the target's slot
+// is not held by a slow link, and waits once more for a moment at which the
+// target is not slowed down.
+func (s *Sidecar) receive(ctx context.Context, w *work) error {
+	if w.length <= bulkBytes || w.length > replayBytes {
+		return nil
+	}
+	body := make([]byte, w.length)
+	if _, err := io.ReadFull(w.body, body); err != nil {
+		return err
+	}
+	w.body = bytes.NewReader(body)
+	for s.slowNow(ctx) {
+		if !wait.For(ctx, probeInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // turnAway refuses requests that the target must not or cannot run.
 func (s *Sidecar) turnAway(view localtarget.View, w *work) verdict {
 	switch {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -49,6 +49,9 @@
 	// Belongs reports whether an answer with the header is for this request.
 	// Answers for which it does not hold are skipped. Nil accepts all.
 	Belongs func(http.Header) bool
+	// Offer sends the head alone and the body only when the peer asks for it, so
+	// that a refusal costs no body.
+	Offer bool
 	// Fresh asks for a connection that has been idle for a short time at most.
 	Fresh bool
 	// Deadline bounds the whole exchange; zero means none.
@@ -127,12 +130,7 @@
 	})
 	reused := c.used > 0
 	c.used++
-	if err := c.send(r); err != nil {
-		stop()
-		c.discard()
-		return nil, c.explain(ctx, err)
-	}
-	head, err := c.readHead(r)
+	head, asked, err := c.converse(r)
 	if err != nil {
 		stop()
 		c.discard()
@@ -140,10 +138,35 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Reused: reused,
-		body: head.Body, conn: c, stop: stop, keep: !head.Close, idle: idleTimeout(head.Header),
+		body: head.Body, conn: c, stop: stop, keep: asked && !head.Close, idle: idleTimeout(head.Header),
 	}, nil
 }
 
+// converse writes the request and reads the head of its answer. It reports
+// whether the peer took the body.
+func (c *conn) converse(r *Request) (head *http.Response, asked bool, err error) {
+	if !r.Offer || r.Body == nil || r.Length == 0 {
+		if err := c.send(r); err != nil {
+			return nil, false, err
+		}
+		head, err = c.readHead(r)
+		return head, true, err
+	}
+	c.writeHead(r)
+	if err := c.writer.Flush(); err != nil {
+		return nil, false, err
+	}
+	head, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil || head.StatusCode != http.StatusContinue {
+		return head, false, err
+	}
+	if err := c.sendBody(r); err != nil {
+		return nil, false, err
+	}
+	head, err = c.readHead(r)
+	return head, true, err
+}
+
 func (c *conn) explain(ctx context.Context, err error) error {
 	if c.cancelled.Load() {
 		return errors.CombineErrors(context.Cause(ctx), err)
@@ -151,13 +174,18 @@
 	return err
 }
 
-// send writes the request. A long body goes on being written while the answer
-// is read, since a peer may answer before it has read the body.
+// send writes the request.
 func (c *conn) send(r *Request) error {
 	c.writeHead(r)
 	if r.Body == nil || r.Length == 0 {
 		return c.writer.Flush()
 	}
+	return c.sendBody(r)
+}
+
+// sendBody writes the body. A long one goes on being written while the answer is
+// read, since a peer may answer before it has read the body.
+func (c *conn) sendBody(r *Request) error {
 	if r.Length > 0 && r.Length <= inlineBytes {
 		return c.writeBody(r)
 	}
@@ -180,6 +208,9 @@
 			writeLine(w, name, ": ", v, "\r\n")
 		}
 	}
+	if r.Offer && r.Body != nil && r.Length != 0 {
+		writeLine(w, "Expect: 100-continue\r\n")
+	}
 	switch {
 	case r.Length > 0 || r.Length == 0 && r.Body != nil && bodyExpected(r.Method):
 		writeLine(w, "Content-Length: ", strconv.FormatInt(r.Length, 10), "\r\n")
