core/worktime: expect the time of each route apart

Cause: one mean per service judged look-ups of 30 ms by bookings of 250 ms, so that they seemed too late at home and left the region.

Change: the target's daemon reports how long it worked; the entry learns it per route and sends it with the attempt; choice and admission use it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -57,6 +57,9 @@
 	// StartBy is the time by which the request must have a slot or be refused,
 	// so that its entry can try another target; zero means the deadline alone.
 	StartBy time.Time
+	// Work is how long the request is expected to hold its slot; zero means the
+	// usual time of its rank.
+	Work time.Duration
 }
 
 // Queue is the queue of one target. It is safe for concurrent use.
@@ -75,9 +78,9 @@
 	held     []time.Time // ends of slots held after fast failures, ascending
 	queued   int
 	sequence uint64
-	mean     float64 // smoothed service time in seconds
-	paused   bool    // nothing starts until Resume
-	pause    float64 // smoothed length of a pause in seconds
+	mean     float64   // smoothed service time in seconds
+	paused   bool      // nothing starts until Resume
+	pause    float64   // smoothed length of a pause in seconds
 	waitedAt time.Time // since when a request waits for the end of the pause
 	decided  []decision
 }
@@ -186,7 +189,7 @@
 // accept grants, queues or refuses a new ticket.
 func (q *Queue) accept(t *Ticket, now time.Time) {
 	r := t.request
-	if !r.Deadline.IsZero() && now.Add(seconds(t.rank.mean)).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(t.work()).After(r.Deadline) {
 		q.refuse(t, outcome.CannotFinish, "less than the service time is left", now)
 		return
 	}
@@ -201,7 +204,7 @@
 		q.refuse(t, outcome.Overloaded, "no free slot", now)
 		return
 	}
-	if !t.rank.canFinish(now, begin, r.Deadline) {
+	if !t.canFinish(now, begin) {
 		q.refuse(t, outcome.CannotFinish, "the queue is too long for the deadline", now)
 		return
 	}
@@ -224,7 +227,7 @@
 		t := k.pop()
 		t.due = due
 		q.queued--
-		if d := t.request.Deadline; !d.IsZero() && now.Add(seconds(t.rank.mean)).After(d) {
+		if d := t.request.Deadline; !d.IsZero() && now.Add(t.work()).After(d) {
 			q.refuse(t, outcome.CannotFinish, "the deadline came too close in the queue", now)
 			continue
 		}
@@ -395,7 +398,7 @@
 		k := q.ranks[i]
 		for k.queued > 0 {
 			t := k.last()
-			if k.canFinish(t.arrived, now.Add(q.wait(i, k.queued)), t.request.Deadline) {
+			if t.canFinish(t.arrived, now.Add(q.wait(i, k.queued))) {
 				break
 			}
 			q.remove(t)
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"pollenscale/core/fleet"
 )
@@ -48,16 +47,6 @@
 	k.mean += (took - k.mean) * meanWeight
 }
 
-// canFinish reports whether a request that starts at begin is likely to finish
-// by the deadline.
-func (k *rank) canFinish(now, begin, deadline time.Time) bool {
-	if deadline.IsZero() {
-		return true
-	}
-	need := max(seconds(k.mean+deviations*k.spread), time.Duration((1-queuePart)*float64(deadline.Sub(now))))
-	return !begin.Add(need).After(deadline)
-}
-
 // ahead counts the queued requests that are served before a new request of an
 // organisation: its own, and of each other organisation as many as its weight
 // allows in the same time.
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -34,6 +34,29 @@
 	due     bool    // started for the floor of its rank
 }
 
+// work is how long the request is expected to hold its slot.
+func (t *Ticket) work() time.Duration {
+	if t.request.Work > 0 {
+		return t.request.Work
+	}
+	return seconds(t.rank.mean)
+}
+
+// canFinish reports whether the request is likely to finish by its deadline if
+// it starts at begin.
+func (t *Ticket) canFinish(now, begin time.Time) bool {
+	deadline := t.request.Deadline
+	if deadline.IsZero() {
+		return true
+	}
+	work := t.request.Work
+	if work == 0 {
+		work = seconds(t.rank.mean + deviations*t.rank.spread)
+	}
+	need := max(work, time.Duration((1-queuePart)*float64(deadline.Sub(now))))
+	return !begin.Add(need).After(deadline)
+}
+
 // Cancel withdraws a queued request, whose decide function is then not called.
 // It reports whether the request was still queued: true means that it did not
 // run and never will.
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -64,6 +64,9 @@
 	// InTime is when the answer should be there, zero if that is not known. As
 	// long as a target at home promises it, the request stays at home.
 	InTime time.Time
+	// Work is how long the request is expected to take at a target, zero if that
+	// is not known.
+	Work time.Duration
 	// Bulk requests carry long bodies, which make distance expensive: they leave
 	// the zone as others leave the region, and the region only when no target
 	// there takes work.
@@ -337,7 +340,11 @@
 	case r.InTime.IsZero():
 		return leave(n.wait(r.Urgent, now) > 2*c.delays.Elsewhere)
 	}
-	return leave(now.Add(n.wait(r.Urgent, now) + n.serviceTime()).After(r.InTime))
+	work := r.Work
+	if work == 0 {
+		work = n.serviceTime()
+	}
+	return leave(now.Add(n.wait(r.Urgent, now) + work).After(r.InTime))
 }
 
 // shortest returns the target at which to queue.
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -27,6 +27,8 @@
 	rest *http1.Response
 	// length is the length of the whole body, -1 when it is not known.
 	length int64
+	// work is how long the target took, 0 if that is not known.
+	work time.Duration
 }
 
 // readAnswer reads a small body whole. It closes the response unless a rest is left.
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -30,11 +30,12 @@
 func (s *Sidecar) dispatch(ctx context.Context, q *request) (*answer, *outcome.Error) {
 	budget := s.budget(q.service)
 	budget.First()
+	work := s.worktimes.Expect(q.route.Name)
 	var last *outcome.Error
 	for {
 		c, err := s.chooser.Pick(choice.Request{
 			Service: q.service, Urgent: q.route.Priority == 0, Tried: q.tried, Final: q.redirects >= maxRedirects,
-			InTime: q.inTime(), Bulk: q.bulk(),
+			InTime: q.inTime(), Work: work, Bulk: q.bulk(),
 		})
 		if err != nil {
 			if last != nil {
@@ -43,10 +44,13 @@
 			return nil, asOutcome(err)
 		}
 		final := c.StartBy.IsZero()
-		a, v := s.attempt(ctx, q, c)
+		a, v := s.attempt(ctx, q, c, work)
 		s.chooser.Done(c, choice.Result{Refused: v.err != nil && !v.arrived && v.err.Outcome == outcome.NotRun, Failed: a == nil && v.err != nil || a != nil && a.status >= http.StatusInternalServerError})
 		s.log.Debug("entry: attempt.", "request", q.ID, "target", c.Target.Daemon, "final", final, "outcome", errOutcome(v.err), "reason", errReason(v.err))
 		if v.err == nil && !s.worthRepeating(q, a) {
+			if a.work > 0 && a.status < http.StatusInternalServerError {
+				s.worktimes.Observe(q.route.Name, a.work)
+			}
 			return a, nil
 		}
 		if v.err != nil {
@@ -117,10 +121,10 @@
 }
 
 // attempt sends the request to one target.
-func (s *Sidecar) attempt(ctx context.Context, q *request, c choice.Choice) (*answer, verdict) {
+func (s *Sidecar) attempt(ctx context.Context, q *request, c choice.Choice, work time.Duration) (*answer, verdict) {
 	t := terms{
 		service: q.service, priority: q.route.Priority, caller: s.settings.Load().Service,
-		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(),
+		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(), work: work,
 	}
 	if c.Target.Daemon == s.id {
 		return s.runHere(ctx, q, t)
@@ -163,6 +167,7 @@
 	if err != nil {
 		return nil, s.peerFailed(ctx, to, err)
 	}
+	a.work, _ = readWork(r.Header)
 	return a, verdict{}
 }
 
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -20,8 +20,8 @@
 	// sequence, addressed incarnation.
 	hopAttempt = "Pollenscale-Attempt"
 	// hopTerms are the terms of an attempt: service, priority, caller's service,
-	// milliseconds to the deadline, milliseconds to the latest start (-1: none),
-	// and whether the request is idempotent.
+	// microseconds to the deadline and to the latest start (-1: none), whether the
+	// request is idempotent, and its expected work in microseconds.
 	hopTerms = "Pollenscale-Terms"
 	// hopVersion is the configuration version of the sender, with the address
 	// from which a newer configuration can be read.
@@ -31,6 +31,8 @@
 	hopOutcome = "Pollenscale-Outcome"
 	// hopLoad is the load of the target.
 	hopLoad = "Pollenscale-Load"
+	// hopWork is how long the target worked on the request, in microseconds.
+	hopWork = "Pollenscale-Work"
 	// hopCall is set on calls of daemons that are no attempts.
 	hopCall = "Pollenscale-Call"
 )
@@ -49,6 +51,8 @@
 	deadline   time.Time
 	startBy    time.Time
 	idempotent bool
+	// work is how long the target is expected to take, 0 if that is not known.
+	work time.Duration
 }
 
 func writeAttempt(h http.Header, ref attempt.Ref) {
@@ -85,24 +89,26 @@
 	h[hopTerms] = []string{strings.Join([]string{
 		string(t.service), strconv.Itoa(t.priority), string(t.caller),
 		strconv.FormatInt(t.deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(start, 10),
-		strconv.FormatBool(t.idempotent),
+		strconv.FormatBool(t.idempotent), strconv.FormatInt(t.work.Microseconds(), 10),
 	}, " ")}
 }
 
 func readTerms(h http.Header, now time.Time) (terms, bool) {
 	f := strings.Split(h.Get(hopTerms), " ")
-	if len(f) != 6 {
+	if len(f) != 7 {
 		return terms{}, false
 	}
 	priority, err1 := strconv.Atoi(f[1])
 	left, err2 := strconv.ParseInt(f[3], 10, 64)
 	start, err3 := strconv.ParseInt(f[4], 10, 64)
-	if err1 != nil || err2 != nil || err3 != nil {
+	work, err4 := strconv.ParseInt(f[6], 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
 		return terms{}, false
 	}
 	t := terms{
 		service: fleet.Service(f[0]), priority: priority, caller: fleet.Service(f[2]),
 		deadline: now.Add(time.Duration(left) * time.Microsecond), idempotent: f[5] == "true",
+		work: time.Duration(work) * time.Microsecond,
 	}
 	if start >= 0 {
 		t.startBy = now.Add(time.Duration(start) * time.Microsecond)
@@ -173,6 +179,15 @@
 	}, true
 }
 
+func writeWork(h http.Header, took time.Duration) {
+	h[hopWork] = []string{strconv.FormatInt(took.Microseconds(), 10)}
+}
+
+func readWork(h http.Header) (time.Duration, bool) {
+	us, err := strconv.ParseInt(h.Get(hopWork), 10, 64)
+	return time.Duration(us) * time.Microsecond, err == nil && us > 0
+}
+
 func writeVersion(h http.Header, v route.Version, address string) {
 	h[hopVersion] = []string{strconv.FormatUint(uint64(v), 10) + " " + address}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -28,6 +28,7 @@
 	"pollenscale/core/slowdown"
 	"pollenscale/core/store"
 	"pollenscale/core/wait"
+	"pollenscale/core/worktime"
 	"pollenscale/io/announce"
 	"pollenscale/io/http1"
 
@@ -58,9 +59,10 @@
 	queue  *admit.Queue
 	target atomic.Pointer[http1.Pool]
 
-	slowdown slowdown.Tracker
-	probing  singleflight.Group
-	slowed   chan struct{} // wakes followSlowdown
+	slowdown  slowdown.Tracker
+	worktimes worktime.Table
+	probing   singleflight.Group
+	slowed    chan struct{} // wakes followSlowdown
 
 	mu      sync.Mutex
 	peers   map[string]*http1.Pool
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -101,6 +101,7 @@
 func (s *Sidecar) passOn(w http.ResponseWriter, a *answer, head bool) error {
 	h := w.Header()
 	s.writeLoad(h)
+	writeWork(h, a.work)
 	return a.writeTo(w, head)
 }
 
@@ -189,7 +190,7 @@
 func (s *Sidecar) enter(ctx context.Context, w *work) (*admit.Ticket, verdict) {
 	s.refreshPause(ctx)
 	for {
-		ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy})
+		ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy, Work: w.terms.work})
 		if err != nil {
 			return nil, verdict{err: asOutcome(err)}
 		}
@@ -270,6 +271,7 @@
 	if r.Status < http.StatusMultipleChoices && !said.Genuine {
 		return nil, verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
 	}
+	a.work = s.now().Sub(now)
 	return a, verdict{}
 }
 
