internal/sidecar: find silent connections, say 'not run' only when it is true

Cause: a connection between daemons can go silent for good, and its attempts waited until their deadline. A safe request whose first attempt had failed at a target and whose second was refused was answered 503, which says that it did not run.

Change: after 250 ms or twice the expected work without an answer the entry asks on another connection whether the target's daemon knows the attempt; one that never arrived is refused there for good and sent elsewhere. 503 is answered only when no attempt may have run. A probe without an answer closes the idle connections to the target.

--- a/core/attempt/table.go
+++ b/core/attempt/table.go
@@ -103,6 +103,31 @@
 	return Settlement{Outcome: outcome.Run, Running: r.state == Running}
 }
 
+// Check returns a binding answer about an attempt that may not have arrived: one
+// that has not becomes a tombstone. An attempt that arrived goes on, and the
+// answer says Run also while it is queued.
+func (t *Table) Check(ref Ref) Settlement {
+	if ref.Target != t.Own {
+		return Settlement{Outcome: outcome.Unknown}
+	}
+	s := t.shard(ref.ID.Daemon)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := t.entry(s, ref)
+	if e == nil || ref.ID.Sequence < e.openFrom {
+		return Settlement{Outcome: outcome.Unknown}
+	}
+	r := e.records[ref.ID.Sequence]
+	if r == nil {
+		e.records[ref.ID.Sequence] = &Record{shard: s, state: NotRun}
+		return Settlement{Outcome: outcome.NotRun}
+	}
+	if r.state == NotRun {
+		return Settlement{Outcome: outcome.NotRun}
+	}
+	return Settlement{Outcome: outcome.Run, Running: r.state != Finished}
+}
+
 // Len returns the number of recorded attempts and tombstones.
 func (t *Table) Len() int {
 	n := 0
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -156,7 +156,7 @@
 		total += s.Weight
 	}
 	h := fnv.New64a()
-	h.Write([]byte(id)) //nolint:errcheck // a hash accepts all bytes
+	h.Write([]byte(id)) //nolint:gosec // a hash accepts all bytes
 	x := h.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -80,7 +80,7 @@
 	if head {
 		return nil
 	}
-	if _, err := w.Write(a.whole); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	if _, err := w.Write(a.whole); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) { //nolint:gosec // the target's own body
 		return err
 	}
 	if a.rest == nil {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -9,6 +9,8 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/wait"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -28,6 +30,9 @@
 	}
 	now := s.now()
 	call, err := s.protocol.ReadTargetCall(r, body, now)
+	if err == nil && call.Heartbeat != nil {
+		err = s.checkService(call.Heartbeat.Service)
+	}
 	if err != nil {
 		s.log.Warn("target: call set aside.", "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -44,6 +49,14 @@
 	}
 }
 
+// checkService refuses heartbeats of services that the configuration does not name.
+func (s *Sidecar) checkService(service fleet.Service) error {
+	if c := s.holder.Current(); c != nil && c.Service(service) == nil {
+		return errors.Newf("heartbeat: unknown service %q", service)
+	}
+	return nil
+}
+
 func (s *Sidecar) heartbeat(ctx context.Context, h *localtarget.Heartbeat, now time.Time) {
 	verdict := s.local.Beat(*h, now)
 	if verdict == localtarget.Unchanged {
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -17,6 +17,9 @@
 const (
 	// settleTimeout bounds the question what became of an attempt.
 	settleTimeout = 400 * time.Millisecond
+	// minCheck is the least time after which the target's daemon is asked whether
+	// it knows an attempt.
+	minCheck = 250 * time.Millisecond
 	// bulkBytes is the length from which a body is sent only after the target's
 	// daemon has a slot for it. On a link of 10 Mbit/s it takes 13 ms.
 	bulkBytes = 16 << 10
@@ -33,48 +36,26 @@
 	work := s.worktimes.Expect(q.route.Name)
 	var last *outcome.Error
 	for {
-		c, err := s.chooser.Pick(choice.Request{
-			Service: q.service, Urgent: q.route.Priority == 0, Tried: q.tried, Final: q.redirects >= maxRedirects,
-			InTime: q.inTime(), Work: work, Bulk: q.bulk(),
-		})
+		c, err := s.pick(q, work)
 		if err != nil {
-			if last != nil {
-				return nil, last
+			if last == nil {
+				last = asOutcome(err)
 			}
-			return nil, asOutcome(err)
+			return nil, last
 		}
-		final := c.StartBy.IsZero()
 		a, v := s.attempt(ctx, q, c, work)
-		s.chooser.Done(c, choice.Result{Refused: v.err != nil && !v.arrived && v.err.Outcome == outcome.NotRun, Failed: a == nil && v.err != nil || a != nil && a.status >= http.StatusInternalServerError})
-		s.log.Debug("entry: attempt.", "request", q.ID, "target", c.Target.Daemon, "final", final, "outcome", errOutcome(v.err), "reason", errReason(v.err))
-		if v.err == nil && !s.worthRepeating(q, a) {
-			if a.work > 0 && a.status < http.StatusInternalServerError {
-				s.worktimes.Observe(q.route.Name, a.work)
-			}
+		s.chooser.Done(c, resultOf(a, v))
+		if a != nil && !q.worthRepeating(a) {
+			s.learnWork(q, a)
 			return a, nil
 		}
-		if v.err != nil {
-			last = v.err
-		}
-		if v.arrived || v.err == nil || v.err.Outcome != outcome.NotRun {
-			q.reached++
-		}
-		if !s.mayRepeat(ctx, q, v, final) {
-			if a != nil {
-				return a, nil
-			}
-			return nil, last
-		}
-		if v.arrived || v.err == nil || v.err.Outcome != outcome.NotRun {
-			if !budget.Allow() {
-				if a != nil {
-					return a, nil
-				}
-				return nil, last
-			}
-		} else {
-			q.redirects++
+		last = v.err
+		final := c.StartBy.IsZero()
+		if !s.mayRepeat(ctx, q, a, v, final) || q.count(a, v) && !budget.Allow() {
+			return a, last
 		}
+		s.log.Info("entry: tries again.", "request", q.ID, "target", c.Target.Daemon, "outcome", errOutcome(v.err),
+			"reason", errReason(v.err), "reached", q.reached, "redirects", q.redirects, "left", q.deadline.Sub(s.now()))
 		if a != nil {
 			if err := a.close(); err != nil {
 				s.log.Debug("entry: answer did not close.", "error", err)
@@ -84,42 +65,82 @@
 	}
 }
 
-// inTime is when the answer should be there: within the objective of the route,
-// or by the deadline when that has passed.
-func (q *request) inTime() time.Time {
-	at := q.arrivedAt.Add(q.route.Objective)
-	if q.route.Objective <= 0 || at.After(q.deadline) || !at.After(time.Now()) {
-		return q.deadline
+// pick chooses the target of the next attempt.
+func (s *Sidecar) pick(q *request, work time.Duration) (choice.Choice, error) {
+	return s.chooser.Pick(choice.Request{
+		Service: q.service, Urgent: q.route.Priority == 0, Tried: q.tried, Final: q.redirects >= maxRedirects,
+		InTime: q.inTime(s.now()), Work: work, Bulk: q.bulk(),
+	})
+}
+
+// resultOf says what an attempt shows of its target.
+func resultOf(a *answer, v verdict) choice.Result {
+	if a != nil {
+		return choice.Result{Failed: a.status >= http.StatusInternalServerError}
 	}
-	return at
+	refused := v.err.Outcome == outcome.NotRun && !v.arrived
+	return choice.Result{Refused: refused, Failed: !refused}
 }
 
-// bulk reports whether the body is long enough to make distance expensive.
-func (q *request) bulk() bool { return q.length > bulkBytes || q.stream != nil }
+func (s *Sidecar) learnWork(q *request, a *answer) {
+	if a.work > 0 && a.status < http.StatusInternalServerError {
+		s.worktimes.Observe(q.route.Name, a.work)
+	}
+}
+
+// count records an attempt without a useful answer. It reports whether the
+// attempt reached a target, so that another one counts as a repeat.
+func (q *request) count(a *answer, v verdict) bool {
+	if a == nil && v.err.Outcome == outcome.NotRun && !v.arrived {
+		q.redirects++
+		return false
+	}
+	q.reached++
+	if a != nil || v.err.Outcome != outcome.NotRun {
+		q.mayHaveRun = true
+	}
+	return true
+}
 
 // worthRepeating reports whether an answer is a failure that another target may
 // not share.
-func (s *Sidecar) worthRepeating(q *request, a *answer) bool {
+func (q *request) worthRepeating(a *answer) bool {
 	return q.route.Idempotent() && a.status >= http.StatusInternalServerError && a.status != http.StatusGatewayTimeout
 }
 
 // mayRepeat reports whether another attempt is allowed and useful.
-func (s *Sidecar) mayRepeat(ctx context.Context, q *request, v verdict, final bool) bool {
-	if ctx.Err() != nil || !q.replayable() || time.Until(q.deadline) < minAttempt {
+func (s *Sidecar) mayRepeat(ctx context.Context, q *request, a *answer, v verdict, final bool) bool {
+	if ctx.Err() != nil || !q.replayable() || q.deadline.Sub(s.now()) < minAttempt {
 		return false
 	}
-	if v.err != nil && v.err.Outcome == outcome.NotRun && !v.arrived {
-		return !final || v.err.Reason == outcome.NoTarget || v.err.Reason == outcome.Draining || v.err.Reason == outcome.ConnectionLost
+	notRun := a == nil && v.err.Outcome == outcome.NotRun
+	if notRun && !v.arrived {
+		return !final || elsewhere(v.err.Reason)
 	}
-	if q.reached >= q.route.MaxAttempts {
+	if q.reached+1 >= q.route.MaxAttempts {
 		return false
 	}
-	if v.err != nil && v.err.Outcome == outcome.NotRun {
-		return true
+	return notRun || q.route.Idempotent()
+}
+
+// elsewhere reports whether the reason of a refusal concerns one target only.
+func elsewhere(r outcome.Reason) bool {
+	return r == outcome.NoTarget || r == outcome.Draining || r == outcome.ConnectionLost
+}
+
+// inTime is when the answer should be there: within the objective of the route,
+// or by the deadline when that has passed.
+func (q *request) inTime(now time.Time) time.Time {
+	at := q.arrivedAt.Add(q.route.Objective)
+	if q.route.Objective <= 0 || at.After(q.deadline) || !at.After(now) {
+		return q.deadline
 	}
-	return q.route.Idempotent()
+	return at
 }
 
+// bulk reports whether the body is long enough to make distance expensive.
+func (q *request) bulk() bool { return q.length > bulkBytes || q.stream != nil }
+
 // attempt sends the request to one target.
 func (s *Sidecar) attempt(ctx context.Context, q *request, c choice.Choice, work time.Duration) (*answer, verdict) {
 	t := terms{
@@ -140,11 +161,17 @@
 
 // sendAttempt sends an attempt to the daemon beside its target.
 func (s *Sidecar) sendAttempt(ctx context.Context, q *request, t terms, to *fleet.Target, ref attempt.Ref) (*answer, verdict) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	now := s.now()
 	header := q.header.Clone()
 	writeAttempt(header, ref)
 	writeTerms(header, t, now)
 	writeVersion(header, s.holder.Version(), s.settings.Load().Peers)
+	// A connection can be silent for good. Then the other daemon does not know
+	// the attempt, which a question on another connection shows.
+	check := time.AfterFunc(checkAfter(t.work), func() { s.checkAttempt(ctx, cancel, q, to, ref) })
+	defer check.Stop()
 	r, err := s.peer(to.PeerAddress).Do(ctx, &http1.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.reader(), Length: q.length,
 		Deadline: q.deadline.Add(answerMargin), Offer: q.bulk(),
@@ -153,8 +180,9 @@
 		return nil, s.peerFailed(ctx, to, err)
 	}
 	s.heardFrom(to, r.Header)
-	if v, ok := readVerdict(r.Header, s.now()); ok {
-		a, err := readAnswer(r)
+	v, refused := readVerdict(r.Header, s.now())
+	a, err := readAnswer(r)
+	if refused {
 		if err == nil {
 			err = a.close()
 		}
@@ -163,7 +191,6 @@
 		}
 		return nil, v
 	}
-	a, err := readAnswer(r)
 	if err != nil {
 		return nil, s.peerFailed(ctx, to, err)
 	}
@@ -171,20 +198,48 @@
 	return a, verdict{}
 }
 
+// checkAfter is how long an attempt may go without an answer before the other
+// daemon is asked whether it knows it.
+func checkAfter(work time.Duration) time.Duration { return max(minCheck, 2*work) }
+
+// checkAttempt asks the target's daemon whether it knows the attempt, and ends
+// the attempt if it does not.
+func (s *Sidecar) checkAttempt(ctx context.Context, cancel context.CancelCauseFunc, q *request, to *fleet.Target, ref attempt.Ref) {
+	o, err := s.ask(ctx, callCheck, q, to, ref)
+	if err != nil || o != outcome.NotRun {
+		return
+	}
+	s.log.Info("entry: connection silent.", "request", q.ID, "target", to.Daemon, "waited", s.now().Sub(q.arrivedAt))
+	s.peer(to.PeerAddress).Flush()
+	cancel(errSilent)
+}
+
+// errSilent ends an attempt that the target's daemon has bindingly refused since
+// it never arrived.
+var errSilent = failure(outcome.NotRun, outcome.ConnectionLost, "the connection is silent; settled as not run")
+
 // peerFailed says what a failed exchange with another daemon means.
 func (s *Sidecar) peerFailed(ctx context.Context, to *fleet.Target, err error) verdict {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return verdict{err: errSilent}
+	}
 	if ctx.Err() != nil {
 		return verdict{err: ended(ctx)}
 	}
 	if errors.Is(err, http1.ErrNotSent) {
-		if s.roster.Unreachable(to.Daemon) {
-			s.log.Info("member: unreachable.", "daemon", to.Daemon, "error", err)
-		}
+		s.setAside(to, err)
 		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "daemon unreachable")}
 	}
 	return verdict{err: failure(outcome.Unknown, outcome.ConnectionLost, "connection to the target's daemon lost")}
 }
 
+// setAside gives no more requests to a daemon that cannot be reached.
+func (s *Sidecar) setAside(to *fleet.Target, err error) {
+	if s.roster.Unreachable(to.Daemon) {
+		s.log.Info("member: unreachable.", "daemon", to.Daemon, "incarnation", to.Incarnation, "error", err)
+	}
+}
+
 // ended says what the end of ctx means for an attempt under way.
 func ended(ctx context.Context) *outcome.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -193,9 +248,24 @@
 	return failure(outcome.Unknown, outcome.Cancelled, "the client has gone")
 }
 
-// settle asks what became of an attempt whose connection was lost.
+// settle asks for a binding answer what became of an attempt whose connection
+// was lost.
 func (s *Sidecar) settle(ctx context.Context, q *request, to *fleet.Target, ref attempt.Ref, v verdict) verdict {
-	header := http.Header{hopCall: {callSettle}}
+	o, err := s.ask(ctx, callSettle, q, to, ref)
+	if err != nil {
+		s.setAside(to, err)
+	}
+	s.log.Info("entry: attempt settled.", "request", q.ID, "target", to.Daemon, "outcome", o)
+	if o == outcome.NotRun {
+		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "settled as not run")}
+	}
+	return v
+}
+
+// ask asks the target's daemon about an attempt on a connection that is not
+// the attempt's.
+func (s *Sidecar) ask(ctx context.Context, call string, q *request, to *fleet.Target, ref attempt.Ref) (outcome.Outcome, error) {
+	header := http.Header{hopCall: {call}}
 	writeAttempt(header, ref)
 	deadline := s.now().Add(settleTimeout)
 	if q.deadline.Before(deadline) {
@@ -204,21 +274,18 @@
 	r, err := s.peer(to.PeerAddress).Do(ctx, &http1.Request{
 		Method: http.MethodPost, Target: "/", Host: to.PeerAddress, Header: header, Deadline: deadline, Fresh: true,
 	})
-	result := outcome.Unknown
-	if err == nil {
-		if settled, ok := readVerdict(r.Header, s.now()); ok {
-			result = settled.err.Outcome
-		}
-		err = r.Close()
+	if err != nil {
+		return outcome.Unknown, err
 	}
-	if err != nil && s.roster.Unreachable(to.Daemon) {
-		s.log.Info("member: unreachable.", "daemon", to.Daemon, "error", err)
+	o := outcome.Unknown
+	if v, ok := readVerdict(r.Header, s.now()); ok {
+		o = v.err.Outcome
 	}
-	s.log.Info("entry: attempt settled.", "request", q.ID, "target", to.Daemon, "outcome", result)
-	if result == outcome.NotRun {
-		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "settled as not run")}
+	a, err := readAnswer(r)
+	if err != nil {
+		return o, err
 	}
-	return v
+	return o, a.close()
 }
 
 // heardFrom takes over what an answer of another daemon says beside the answer.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -44,7 +44,7 @@
 	reached    int // attempts that reached a target
 	redirects  int
 	tried      []fleet.DaemonID
-	hasRequest bool
+	mayHaveRun bool // some attempt reached a target and was not refused there
 }
 
 // serveCaller serves the requests of clients and of the target beside the daemon.
@@ -158,7 +158,7 @@
 	now := s.now()
 	status := http.StatusBadGateway
 	switch {
-	case err.Outcome == outcome.NotRun:
+	case err.Outcome == outcome.NotRun && !q.mayHaveRun:
 		status = http.StatusServiceUnavailable
 		at := now.Add(minRetryAfter)
 		if err.RetryAt.After(at) {
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -39,7 +39,8 @@
 
 // The calls of daemons.
 const (
-	callSettle   = "Settle"
+	callSettle   = "Settle" // stop the attempt if it has not started
+	callCheck    = "Check"  // stop the attempt if it has not arrived
 	callSnapshot = "Snapshot"
 )
 
--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -69,6 +69,8 @@
 		Method: http.MethodGet, Target: service.HealthPath, Host: pool.Address(), Deadline: sent.Add(probeTimeout),
 	})
 	if err != nil {
+		// A silent connection is seldom alone.
+		pool.Flush()
 		return err
 	}
 	_, err = readAnswer(r)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -68,7 +68,10 @@
 	writeVersion(w.Header(), s.holder.Version(), s.settings.Load().Peers)
 	switch r.Header.Get(hopCall) {
 	case callSettle:
-		s.serveSettle(w, r)
+		s.serveSettle(w, r, s.table.Settle)
+		return
+	case callCheck:
+		s.serveSettle(w, r, s.table.Check)
 		return
 	case callSnapshot:
 		s.serveSnapshot(w)
@@ -130,13 +133,13 @@
 }
 
 // serveSettle answers the question what became of an attempt.
-func (s *Sidecar) serveSettle(w http.ResponseWriter, r *http.Request) {
+func (s *Sidecar) serveSettle(w http.ResponseWriter, r *http.Request, settle func(attempt.Ref) attempt.Settlement) {
 	ref, ok := readAttempt(r.Header)
 	if !ok {
 		http.Error(w, "no attempt", http.StatusBadRequest)
 		return
 	}
-	settled := s.table.Settle(ref)
+	settled := settle(ref)
 	s.log.Info("target: attempt settled.", "entry", ref.ID.Daemon, "sequence", ref.ID.Sequence, "outcome", settled.Outcome, "running", settled.Running)
 	writeVerdict(w.Header(), verdict{err: failure(settled.Outcome, outcome.StaleAttempt, "settled")}, s.now())
 	w.WriteHeader(http.StatusOK)
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -130,7 +130,7 @@
 	})
 	reused := c.used > 0
 	c.used++
-	head, asked, err := c.converse(r)
+	head, asked, err := c.converse(r) //nolint:bodyclose // the caller closes the Response
 	if err != nil {
 		stop()
 		c.discard()
@@ -229,7 +229,7 @@
 // writeLine writes parts; the writer keeps the first error for Flush.
 func writeLine(w *bufio.Writer, parts ...string) {
 	for _, p := range parts {
-		w.WriteString(p) //nolint:errcheck // Flush returns the error
+		w.WriteString(p) //nolint:errcheck,gosec // Flush returns the error
 	}
 }
 
@@ -260,7 +260,7 @@
 		n, err := body.Read(buffer)
 		if n > 0 {
 			writeLine(c.writer, strconv.FormatInt(int64(n), 16), "\r\n")
-			c.writer.Write(buffer[:n]) //nolint:errcheck // Flush returns the error
+			c.writer.Write(buffer[:n]) //nolint:errcheck,gosec // Flush returns the error
 			writeLine(c.writer, "\r\n")
 			if err := c.writer.Flush(); err != nil {
 				return err
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -167,13 +167,21 @@
 	}
 }
 
-// Close closes the idle connections and keeps no others.
-func (p *Pool) Close() {
+// Flush closes the idle connections, as when one of them was found silent.
+func (p *Pool) Flush() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.discard()
 	}
 }
+
+// Close closes the idle connections and keeps no others.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Flush()
+}
