core/localtarget: remember a departure that comes before the first heartbeat

Ruled out: a heartbeat with the state ready after a drain of a known target; it keeps the drain.

Change: departures of unknown targets are remembered, bounded by the time of the departure. A daemon that reads another's records takes over a drain that its earlier process acknowledged.

--- a/core/localtarget/localtarget.go
+++ b/core/localtarget/localtarget.go
@@ -51,12 +51,19 @@
 	Stale     Verdict = "Stale"    // an older incarnation or an older message
 )
 
+// departure bounds the incarnations of a target that have left.
+type departure struct {
+	// born is the start of the incarnation that left, if it was known, otherwise
+	// the time of the departure: whatever started before it is gone.
+	born int64
+}
+
 // State is what is known. The zero value knows no target.
 type State struct {
 	mu       sync.Mutex
 	view     View
 	sequence int64
-	left     map[exchange.TargetID]int64 // born of the incarnations that left
+	left     map[exchange.TargetID]departure
 }
 
 // View returns the state of the moment.
@@ -86,7 +93,7 @@
 	if !same && h.Born < s.view.Born {
 		return Stale
 	}
-	if born, gone := s.left[h.ID]; gone && born >= h.Born {
+	if d, gone := s.left[h.ID]; gone && d.born >= h.Born {
 		return Stale
 	}
 	if same && h.Sequence <= s.sequence {
@@ -117,17 +124,27 @@
 	return Unchanged
 }
 
-// Leave records that an incarnation leaves without a drain of its own.
+// Leave records that an incarnation leaves without a drain of its own. An
+// incarnation that is not known, as after a restart of the daemon, is remembered
+// too: one of its earlier heartbeats may still be under way.
 func (s *State) Leave(id exchange.TargetID, born int64, now time.Time) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if id != s.view.ID || (born != 0 && born != s.view.Born) {
-		return Stale
-	}
 	if s.left == nil || len(s.left) > maxLeft {
-		s.left = make(map[exchange.TargetID]int64)
+		s.left = make(map[exchange.TargetID]departure)
+	}
+	current := id == s.view.ID && (born == 0 || born == s.view.Born)
+	switch {
+	case current:
+		s.left[id] = departure{born: s.view.Born}
+	case born != 0:
+		s.left[id] = departure{born: max(born, s.left[id].born)}
+	case id != s.view.ID:
+		s.left[id] = departure{born: now.UnixMilli()}
+	}
+	if !current {
+		return Stale
 	}
-	s.left[id] = s.view.Born
 	if !s.view.DrainedAt.IsZero() {
 		return Unchanged
 	}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -282,6 +282,18 @@
 	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", version)
 }
 
+// recallDrain takes over a drain that an earlier process of this daemon
+// acknowledged, as other daemons remember it.
+func (s *Sidecar) recallDrain(r roster.Record) {
+	if r.Incarnation >= s.incarnation || r.TargetState != fleet.Draining || r.Target == "" {
+		return
+	}
+	if verdict := s.local.Leave(r.Target, r.Born, s.now()); verdict == localtarget.Changed {
+		s.log.Warn("target: drain recalled.", "target", r.Target, "born", r.Born, "incarnation", r.Incarnation)
+		s.changed()
+	}
+}
+
 // snapshot is what a daemon tells another that asks for all it knows.
 type snapshot struct {
 	Records []roster.Record
@@ -337,7 +349,11 @@
 		return err
 	}
 	for _, record := range got.Records {
-		if record.Daemon != s.id && s.roster.Offer(record) {
+		if record.Daemon == s.id {
+			s.recallDrain(record)
+			continue
+		}
+		if s.roster.Offer(record) {
 			s.logMember(record, address)
 		}
 	}
