internal/logs, internal/cli: bounded log lines for each decision, and a trace command

Cause: on-call engineers have only logs and metrics; the sidecar logged each line with a system call and said nothing of requests that went well.

One line for each answer, attempt, refusal, run and settlement. 'pollenscale trace ID FILE...' prints the story of a request over all daemons. Settings that change without a signal are reloaded.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -7,8 +7,11 @@
 	"os"
 	"runtime/debug"
 
+	"pollenscale/internal/logs"
 	"pollenscale/internal/sidecar"
 	"pollenscale/platform"
+
+	"github.com/oklog/run"
 )
 
 // gcPercent keeps the heap small: memory is dear, and the live heap is a few MB.
@@ -16,14 +19,18 @@
 
 func main() {
 	debug.SetGCPercent(gcPercent)
-	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelInfo}))
-	if err := serve(log); err != nil {
+	lines := logs.NewBounded(os.Stdout)
+	log := slog.New(lines.Handler(slog.LevelInfo))
+	err := serve(log, lines)
+	if err != nil {
 		log.Error("daemon: failed.", "error", err)
+	}
+	if lines.Flush() != nil || err != nil {
 		os.Exit(1)
 	}
 }
 
-func serve(log *slog.Logger) error {
+func serve(log *slog.Logger, lines *logs.Bounded) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -32,8 +39,15 @@
 	if err != nil {
 		return err
 	}
-	return sidecar.New(settings, platform.Protocol(path),
+	daemon := sidecar.New(settings, platform.Protocol(path),
 		sidecar.WithLog(log),
+		sidecar.WithOmitted(lines.Omitted),
 		sidecar.WithTables(platform.NewClient(settings.Store).Tables()),
-	).Run(context.Background())
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return daemon.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return lines.Run(ctx) }, func(error) { cancel() })
+	return group.Run()
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,6 @@
 declarations.`,
 		SilenceUsage: true,
 	}
-	root.AddCommand(newDaemon(), newConfig(), newStatus(), newVersion())
+	root.AddCommand(newDaemon(), newConfig(), newStatus(), newTrace(), newVersion())
 	return root
 }
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -45,6 +45,7 @@
 		}
 		a, v := s.attempt(ctx, q, c, work)
 		s.chooser.Done(c, resultOf(a, v))
+		s.meters.attempted(errOutcome(v.err)).Inc()
 		if a != nil && !q.worthRepeating(a) {
 			s.learnWork(q, a)
 			return a, nil
@@ -209,7 +210,7 @@
 	if err != nil || o != outcome.NotRun {
 		return
 	}
-	s.log.Info("entry: connection silent.", "request", q.ID, "target", to.Daemon, "waited", s.now().Sub(q.arrivedAt))
+	s.log.Warn("entry: connection silent.", "request", q.ID, "target", to.Daemon, "waited", s.now().Sub(q.arrivedAt))
 	s.peer(to.PeerAddress).Flush()
 	cancel(errSilent)
 }
@@ -236,7 +237,7 @@
 // setAside gives no more requests to a daemon that cannot be reached.
 func (s *Sidecar) setAside(to *fleet.Target, err error) {
 	if s.roster.Unreachable(to.Daemon) {
-		s.log.Info("member: unreachable.", "daemon", to.Daemon, "incarnation", to.Incarnation, "error", err)
+		s.log.Warn("member: unreachable.", "daemon", to.Daemon, "incarnation", to.Incarnation, "error", err)
 	}
 }
 
@@ -255,7 +256,7 @@
 	if err != nil {
 		s.setAside(to, err)
 	}
-	s.log.Info("entry: attempt settled.", "request", q.ID, "target", to.Daemon, "outcome", o)
+	s.log.Warn("entry: attempt settled.", "request", q.ID, "target", to.Daemon, "outcome", o)
 	if o == outcome.NotRun {
 		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "settled as not run")}
 	}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -72,9 +72,13 @@
 		s.answerFailure(w, r, q, err)
 		return
 	}
-	s.meters.answered(q, a.status, s.now())
+	now = s.now()
+	s.meters.answered(q, a.status, now)
+	s.log.Info("entry: answered.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", a.status,
+		"waited", now.Sub(q.arrivedAt), "work", a.work, "left", q.deadline.Sub(now), "reached", q.reached+1,
+		"redirects", q.redirects, "version", s.holder.Version())
 	if err := a.writeTo(w, r.Method == http.MethodHead); err != nil {
-		s.log.Info("entry: answer broken off.", "request", q.ID, "error", err)
+		s.log.Warn("entry: answer broken off.", "request", q.ID, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -173,7 +177,7 @@
 		s.log.Info("entry: client has gone.", "request", q.ID, "route", q.route.Name, "outcome", err.Outcome, "waited", now.Sub(q.arrivedAt))
 		panic(http.ErrAbortHandler)
 	}
-	s.log.Info("entry: failed.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", status,
+	s.log.Warn("entry: failed.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", status,
 		"outcome", err.Outcome, "reason", err.Reason, "detail", err.Detail, "reached", q.reached, "redirects", q.redirects,
 		"waited", now.Sub(q.arrivedAt), "left", q.deadline.Sub(now), "version", s.holder.Version())
 	http.Error(w, string(err.Reason), status)
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"pollenscale/core/outcome"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -19,8 +21,16 @@
 	store       *dependency
 }
 
-func newMeters() meters {
+func (s *Sidecar) newMeters() meters {
 	set := metrics.NewSet()
+	gauge := func(name string, f func() int64) {
+		set.NewGauge(name, func() float64 { return float64(f()) })
+	}
+	gauge("pollenscale_requests_active", s.active.Load)
+	gauge("pollenscale_attempts_active", s.served.Load)
+	gauge("pollenscale_members", func() int64 { return int64(s.roster.Len()) })
+	gauge("pollenscale_target_slots", func() int64 { return int64(s.limit.Value()) })
+	gauge("pollenscale_log_lines_omitted_total", func() int64 { return int64(s.omitted()) })
 	return meters{
 		set:         set,
 		targetDials: set.NewCounter("pollenscale_target_connections_total"),
@@ -30,6 +40,21 @@
 	}
 }
 
+// refused counts attempts that the daemon did not let run at its target.
+func (m meters) refused(reason outcome.Reason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`pollenscale_refusals_total{reason="` + string(reason) + `"}`)
+}
+
+// attempted counts the attempts of the entry by their outcome.
+func (m meters) attempted(o outcome.Outcome) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`pollenscale_attempts_total{outcome="` + string(o) + `"}`)
+}
+
+// phase records how long a request spent in a phase of its way.
+func (m meters) phase(name string, took time.Duration) {
+	m.set.GetOrCreateHistogram(`pollenscale_phase_seconds{phase="` + name + `"}`).Update(took.Seconds())
+}
+
 // rejected counts requests that the entry answered without a target.
 func (m meters) rejected(status int) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`pollenscale_requests_total{service="",status="` + strconv.Itoa(status) + `"}`)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"reflect"
 	"time"
 
 	"pollenscale/core/fleet"
@@ -31,3 +32,6 @@
 	// Retries are the bounds that all daemons keep together.
 	Retries retry.Terms
 }
+
+// Equal reports whether two settings are the same.
+func (s Settings) Equal(o *Settings) bool { return reflect.DeepEqual(s, *o) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	protocol Protocol
 	tables   store.Tables
 	log      *slog.Logger
+	omitted  func() uint64
 	now      func() time.Time
 
 	settings    atomic.Pointer[Settings]
@@ -86,10 +87,13 @@
 // WithLog sets the logger.
 func WithLog(l *slog.Logger) Option { return func(s *Sidecar) { s.log = l } }
 
+// WithOmitted sets the function that counts the log lines that were left out.
+func WithOmitted(count func() uint64) Option { return func(s *Sidecar) { s.omitted = count } }
+
 // New returns a daemon with the given settings.
 func New(settings Settings, p Protocol, options ...Option) *Sidecar {
 	s := &Sidecar{
-		protocol: p, log: slog.Default(), now: time.Now,
+		protocol: p, log: slog.Default(), omitted: func() uint64 { return 0 }, now: time.Now,
 		id:          fleet.DaemonID(settings.Peers),
 		incarnation: fleet.Incarnation(time.Now().UnixNano()),
 		limit:       limit.Warm(1),
@@ -102,7 +106,7 @@
 		o(s)
 	}
 	s.settings.Store(&settings)
-	s.meters = newMeters()
+	s.meters = s.newMeters()
 	s.publisher.wake = make(chan struct{}, 1)
 	s.opener = attempt.Opener{Daemon: s.id, Incarnation: s.incarnation}
 	s.table = attempt.Table{Own: s.incarnation}
@@ -164,6 +168,7 @@
 	add(s.handleSignals)
 	add(func(ctx context.Context) error { return wait.Every(ctx, refreshInterval, s.refresh) })
 	add(func(ctx context.Context) error { return wait.Every(ctx, sweepInterval, s.sweep) })
+	add(func(ctx context.Context) error { return wait.Every(ctx, settingsInterval, s.checkSettings) })
 	s.log.Info("daemon: started.", "daemon", s.id, "incarnation", s.incarnation, "zone", settings.Place.AvailabilityZone)
 	err = group.Run()
 	s.log.Info("daemon: stopped.", "reason", err)
@@ -176,6 +181,9 @@
 const (
 	// refreshInterval is how often queued requests are checked for their deadline.
 	refreshInterval = 20 * time.Millisecond
+	// settingsInterval is how often the settings are looked at: they can change
+	// without a signal.
+	settingsInterval = 2 * time.Second
 	// sweepInterval is how often idle connections and delays are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -263,9 +271,6 @@
 
 // reload takes over settings that may change while the daemon runs.
 func (s *Sidecar) reload() {
-	if s.protocol.ReadSettings == nil {
-		return
-	}
 	next, err := s.protocol.ReadSettings()
 	if err != nil {
 		s.log.Error("daemon: the settings cannot be read; the old ones stay in force.", "error", err)
@@ -278,6 +283,13 @@
 	s.log.Info("daemon: settings reloaded.", "service", next.Service, "target", next.Target)
 }
 
+// checkSettings reloads the settings if they have changed.
+func (s *Sidecar) checkSettings() {
+	if next, err := s.protocol.ReadSettings(); err == nil && !next.Equal(s.settings.Load()) {
+		s.reload()
+	}
+}
+
 // setTarget changes the address of the target beside the daemon.
 func (s *Sidecar) setTarget(address string) {
 	pool := http1.New(address)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -149,6 +149,7 @@
 func (s *Sidecar) runWork(ctx context.Context, w *work) (*answer, verdict) {
 	s.served.Add(1)
 	defer s.served.Add(-1)
+	arrived := s.now()
 	view := s.local.View()
 	if v := s.turnAway(view, w); v.err != nil {
 		s.logRefusal(w, v.err)
@@ -174,7 +175,11 @@
 		ticket.Return()
 		return nil, verdict{err: asOutcome(err)}
 	}
+	started := s.now()
+	s.meters.phase("queue", started.Sub(arrived))
 	a, v := s.exchange(ctx, w, view)
+	took := s.now().Sub(started)
+	s.meters.phase("target", took)
 	switch {
 	case v.err != nil && v.err.Outcome == outcome.NotRun:
 		ticket.Return()
@@ -184,8 +189,11 @@
 		ticket.Release()
 	}
 	if v.err != nil {
-		s.log.Info("target: failed.", "request", w.id, "target", view.ID, "outcome", v.err.Outcome, "reason", v.err.Reason, "detail", v.err.Detail)
+		s.log.Warn("target: failed.", "request", w.id, "target", view.ID, "outcome", v.err.Outcome, "reason", v.err.Reason, "detail", v.err.Detail,
+			"queued", started.Sub(arrived), "took", took)
+		return a, v
 	}
+	s.log.Info("target: ran.", "request", w.id, "target", view.ID, "status", a.status, "queued", started.Sub(arrived), "took", took)
 	return a, v
 }
 
@@ -238,7 +246,11 @@
 }
 
 func (s *Sidecar) logRefusal(w *work, e *outcome.Error) {
-	s.log.Info("target: refused.", "request", w.id, "reason", e.Reason, "detail", e.Detail, "priority", w.terms.priority)
+	s.meters.refused(e.Reason).Inc()
+	load := s.queue.Load(s.now())
+	s.log.Info("target: refused.", "request", w.id, "reason", e.Reason, "detail", e.Detail, "priority", w.terms.priority,
+		"left", w.terms.deadline.Sub(s.now()), "work", w.terms.work, "running", load.Running, "queued", load.Queued,
+		"slots", load.Slots, "wait", load.WaitLow, "slowed", s.slowdown.Slow())
 }
 
 // exchange sends the request to the target and reads its answer.
