internal/soak: real daemons under faults from outside

Change: a seeded run of real daemons as processes, with stand-ins for targets, callers, the operator and the store. Processes are stopped, paused, killed and restarted, targets drain, crash and lose answers, the store is away or silent, the configuration changes. The ledger checks TWICE, REFUSED, MIXED, ROUTE, UNASKED, DRAIN, DENIED and recovery from what callers and targets see.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -88,7 +88,7 @@
 		e.Source = words[len(words)-1]
 	}
 	text, _ := fields["time"].(string)
-	e.At, _ = time.Parse(time.RFC3339Nano, text) //nolint:errcheck // a line without a time comes first
+	e.At, _ = time.Parse(time.RFC3339Nano, text)
 	e.Message, _ = fields["msg"].(string)
 	for name, value := range fields {
 		switch name {
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// entry is what callers and targets have seen of one client attempt.
+type entry struct {
+	idempotent bool
+	service    string
+	caller     string
+	target     string // path and query
+	body       string
+	runs       int
+	refused    bool
+}
+
+// ledger checks the promises from what callers and targets see.
+type ledger struct {
+	mu         sync.Mutex
+	entries    map[string]*entry
+	violations []string
+	counts     map[string]int
+}
+
+func newLedger() *ledger {
+	return &ledger{entries: map[string]*entry{}, counts: map[string]int{}}
+}
+
+func (l *ledger) violate(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.violations = append(l.violations, fmt.Sprintf(format, args...))
+}
+
+func (l *ledger) sent(id string, e entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[id] = &e
+}
+
+// ran records that a target began to work on a request.
+func (l *ledger) ran(id string, t *appTarget, r *http.Request, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil {
+		l.violations = append(l.violations, "UNASKED: nobody sent "+id)
+		return
+	}
+	e.runs++
+	if e.runs > 1 && !e.idempotent {
+		l.violations = append(l.violations, "TWICE: "+id)
+	}
+	if e.refused {
+		l.violations = append(l.violations, "REFUSED: "+id+" runs after it was answered as not run")
+	}
+	if e.service != t.service {
+		l.violations = append(l.violations, fmt.Sprintf("ROUTE: %s for %s runs at %s", id, e.service, t.service))
+	}
+	if r.RequestURI != e.target || string(body) != e.body {
+		l.violations = append(l.violations, fmt.Sprintf("UNASKED: %s arrives as %s with %d bytes", id, r.RequestURI, len(body)))
+	}
+	if got := r.Header.Get("X-Pollenscale-Caller-Service"); got != e.caller {
+		l.violations = append(l.violations, fmt.Sprintf("UNASKED: %s comes from %s, says %s", id, e.caller, got))
+	}
+}
+
+// answered records the answer that a caller got.
+func (l *ledger) answered(id string, status int, header http.Header, body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[fmt.Sprint(status)]++
+	e := l.entries[id]
+	switch {
+	case status == http.StatusOK:
+		if header.Get("X-Pollenscale-Response-Stamp") != "stamp-"+id || body != answerTo(id) {
+			l.violations = append(l.violations, fmt.Sprintf("MIXED: %s got %q", id, strings.SplitN(body, "\n", 2)[0]))
+		}
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		if e.runs > 0 {
+			l.violations = append(l.violations, "REFUSED: "+id+" has run")
+		}
+		e.refused = true
+	case status == http.StatusNotFound || status == http.StatusBadRequest:
+		l.violations = append(l.violations, fmt.Sprintf("DENIED: %s got %d", id, status))
+	}
+}
+
+func (l *ledger) count(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[name]++
+}
--- /dev/null
+++ b/internal/soak/site_test.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Ports of every VM; each has a loopback address of its own.
+const (
+	portPeers   = 8300
+	portTarget  = 8301
+	portReady   = 8302
+	portCallers = 8304
+	portControl = 8306
+)
+
+var services = []string{"agenda", "reservas"}
+
+// site is a fleet of real daemons with stand-ins for everything around them.
+type site struct {
+	ctx     context.Context
+	group   *errgroup.Group
+	dir     string
+	binary  string
+	prefix  string // first three numbers of the VMs' addresses
+	store   *tableStore
+	ledger  *ledger
+	vms     []*vm
+	version int
+	quiet   atomic.Bool // callers have stopped
+}
+
+// vm is a machine with a daemon process and a target.
+type vm struct {
+	site    *site
+	ip      string
+	zone    string
+	service string
+	target  *appTarget
+	process *exec.Cmd
+	exited  chan struct{}
+	ready   atomic.Bool
+	log     *os.File
+	busy    sync.Mutex // held by a fault of the process or the target
+}
+
+func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+
+// settings is the settings file of the VM.
+func (v *vm) settings() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"nodeName": v.ip, "ip": v.ip, "zone": v.zone, "region": v.zone[:1],
+		"listen": map[string]string{
+			"inbound": v.address(portPeers), "outbound": v.address(portCallers),
+			"ready": v.address(portReady), "control": v.address(portControl),
+		},
+		"internalPorts": []int{7620, 7635}, "seeds": []string{},
+		"bounds":  []string{"drainS=2", "graceS=6", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetExtraRetries=58"},
+		"appAddr": v.address(portTarget), "service": v.service,
+		"provider": map[string]any{"address": v.site.prefix + ".250:8309"},
+	})
+}
+
+// start starts the daemon of the VM.
+func (v *vm) start() error {
+	data, err := v.settings()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(v.site.dir, v.ip+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	v.process = exec.Command(v.site.binary)
+	v.process.Env = []string{"POLLENSCALE_BOOT=" + path}
+	v.process.Stdout, v.process.Stderr = v.log, v.log
+	if err := v.process.Start(); err != nil {
+		return err
+	}
+	exited, process := make(chan struct{}), v.process
+	v.exited = exited
+	v.site.group.Go(func() error {
+		process.Wait()
+		close(exited)
+		return nil
+	})
+	return nil
+}
+
+// signal sends a signal to the daemon that this run started.
+func (v *vm) signal(s syscall.Signal) { v.process.Process.Signal(s) }
+
+// restart stops the daemon with a signal, waits for its end and starts it again.
+func (v *vm) restart(s syscall.Signal) error {
+	v.signal(s)
+	select {
+	case <-v.exited:
+	case <-time.After(7 * time.Second):
+		v.site.ledger.violate("LOST: %s still runs 7 s after %s", v.ip, s)
+		v.signal(syscall.SIGKILL)
+		<-v.exited
+	}
+	return v.start()
+}
+
+// configure writes the next version of the configuration.
+func (s *site) configure() error {
+	s.version += 1 + rand.IntN(3)
+	routes := []map[string]any{}
+	for i, service := range services {
+		routes = append(routes,
+			map[string]any{"name": "read-" + service, "host": "soak.example", "prefix": "/read/" + service + "/", "type": "safe", "timeoutS": 1.5, "targetLatencyS": 0.4, "priority": 1, "service": service, "maxAttempts": 2},
+			map[string]any{"name": "book-" + service, "host": "soak.example", "prefix": "/book/" + service + "/", "type": "unsafe", "timeoutS": 1.5, "targetLatencyS": 0.4, "priority": i, "service": service, "maxAttempts": 2})
+	}
+	list := []map[string]any{}
+	for _, service := range services {
+		list = append(list, map[string]any{"name": service, "healthCheckPath": "/health", "maxConnections": 200})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", s.version), "routes": routes, "services": list,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+	})
+	s.store.put("op", "config", data)
+	return err
+}
+
+// watchReady follows whether the platform would send clients to the VM.
+func (v *vm) watchReady(ctx context.Context) error {
+	client := http.Client{Timeout: 500 * time.Millisecond}
+	misses := 2
+	for ctx.Err() == nil {
+		r, err := client.Get("http://" + v.address(portReady) + "/pollenscale/ready")
+		if err == nil {
+			r.Body.Close()
+		}
+		if err == nil && r.StatusCode == http.StatusOK {
+			misses = 0
+		} else {
+			misses++
+		}
+		v.ready.Store(misses < 2)
+		time.Sleep(300 * time.Millisecond)
+	}
+	return nil
+}
+
+// callFrom sends requests from a client on the VM until the callers stop. It
+// goes on using its connection until the daemon is gone.
+func (v *vm) callFrom(ctx context.Context) error {
+	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 3 * time.Second}
+	for ctx.Err() == nil && !v.site.quiet.Load() {
+		if v.ready.Load() {
+			v.send(ctx, &client)
+		}
+		time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
+	}
+	return nil
+}
+
+// send sends one request and records what came back.
+func (v *vm) send(ctx context.Context, client *http.Client) bool {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	service := services[rand.IntN(len(services))]
+	e := entry{idempotent: rand.IntN(2) == 0, service: service, caller: v.service}
+	method := http.MethodPost
+	if e.idempotent {
+		method = http.MethodGet
+		e.target = "/read/" + service + "/a//b/../" + id + "?q=%2F%20"
+	} else {
+		e.target = "/book/" + service + "/" + id
+		e.body = strings.Repeat(id, 1+rand.IntN(2)*rand.IntN(4000))
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+v.address(portCallers), bytes.NewReader([]byte(e.body)))
+	if err != nil {
+		panic(err)
+	}
+	r.URL.Opaque = e.target
+	r.Host = "soak.example"
+	r.GetBody = nil // a client attempt is sent once
+	if e.idempotent {
+		r.Body = nil
+	}
+	r.Header.Set("X-Pollenscale-Try-Id", id)
+	r.Header.Set("X-Pollenscale-Deadline-Ms", "1200")
+	r.Header.Set("X-Pollenscale-Caller-Service", "forged")
+	v.site.ledger.sent(id, e)
+	answer, err := client.Do(r)
+	if err != nil {
+		v.site.ledger.count("no answer")
+		return false
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		v.site.ledger.count("broken off")
+		return false
+	}
+	v.site.ledger.answered(id, answer.StatusCode, answer.Header, string(body))
+	return answer.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,244 @@
+// Package soak runs real daemons as processes on one machine, with stand-ins for
+// targets, callers, the operator and the store, injects faults from outside,
+// and checks the promises from what callers and targets see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+var (
+	seedFlag    = flag.Uint64("seed", 1, "first seed")
+	runsFlag    = flag.Int("runs", 1, "number of seeds")
+	secondsFlag = flag.Int("seconds", 8, "length of the faults of one seed")
+	vmsFlag     = flag.Int("vms", 8, "number of VMs")
+)
+
+// regressions are seeds that have failed, with their cause.
+var regressions = []uint64{}
+
+// TestSoak guards against broken promises while processes are stopped, paused,
+// killed and restarted, targets drain, crash and lose answers, the configuration
+// changes and the store is away, alone and overlapping.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "sidecar")
+	build := exec.Command("go", "build", "-o", binary, "pollenscale/cmd/sidecar")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	seeds := append([]uint64(nil), regressions...)
+	for i := range *runsFlag {
+		seeds = append(seeds, *seedFlag+uint64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed) })
+	}
+}
+
+func soak(t *testing.T, binary string, seed uint64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	group := &errgroup.Group{}
+	s := &site{
+		ctx: ctx, group: group, dir: t.TempDir(), binary: binary, store: newStore(), ledger: newLedger(),
+		prefix: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, seed%250),
+	}
+	listener, err := listen(s.prefix + ".250:8309")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: s.store}
+	group.Go(func() error {
+		server.Serve(listener)
+		return nil
+	})
+	defer server.Close()
+	if err := s.configure(); err != nil {
+		t.Fatal(err)
+	}
+	s.startAll(t)
+	defer s.stopAll(t)
+	if !s.serves(5 * time.Second) {
+		t.Fatal("the site does not serve at the start")
+	}
+	for _, v := range s.vms {
+		for range 3 {
+			group.Go(func() error { return v.callFrom(ctx) })
+		}
+	}
+	s.disturb(rand.New(rand.NewPCG(seed, 1)))
+	if !s.serves(8 * time.Second) {
+		s.ledger.violate("RECOVER: fewer than nine in ten are served 8 s after the last fault")
+	}
+	s.quiet.Store(true)
+	time.Sleep(2 * time.Second)
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	t.Logf("seed %d: %v, %d store calls", seed, s.ledger.counts, s.store.calls)
+	for i, v := range s.ledger.violations {
+		if i < 10 {
+			t.Error(v)
+		}
+	}
+	if t.Failed() {
+		s.keepLogs(t, seed)
+	}
+}
+
+// keepLogs moves the logs of a failed run to a place that outlives the test.
+func (s *site) keepLogs(t *testing.T, seed uint64) {
+	at := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", seed))
+	if err := os.CopyFS(at, os.DirFS(s.dir)); err != nil {
+		t.Logf("logs not kept: %v", err)
+		return
+	}
+	t.Logf("logs: %s", at)
+}
+
+func (s *site) startAll(t *testing.T) {
+	for i := range *vmsFlag {
+		v := &vm{
+			site: s, ip: fmt.Sprintf("%s.%d", s.prefix, i+1), service: services[i%len(services)],
+			zone: []string{"a1", "a2", "b1"}[i/2%3],
+		}
+		log, err := os.Create(filepath.Join(s.dir, v.ip+".log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.log = log
+		if err := v.start(); err != nil {
+			t.Fatal(err)
+		}
+		if v.target, err = startTarget(v, v.service); err != nil {
+			t.Fatal(err)
+		}
+		s.vms = append(s.vms, v)
+		s.group.Go(func() error { return v.watchReady(s.ctx) })
+	}
+}
+
+func (s *site) stopAll(t *testing.T) {
+	s.quiet.Store(true)
+	for _, v := range s.vms {
+		v.signal(syscall.SIGKILL)
+		<-v.exited
+		v.target.stop()
+		if err := v.log.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// serves waits until nine in ten of a few requests from every VM are served.
+func (s *site) serves(within time.Duration) bool {
+	client := http.Client{Timeout: 2 * time.Second}
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		good, all := 0, 0
+		for _, v := range s.vms {
+			for range 3 {
+				all++
+				if v.ready.Load() && v.send(s.ctx, &client) {
+					good++
+				}
+			}
+		}
+		if good*10 >= all*9 {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb injects faults in series; some last and overlap with the next ones.
+func (s *site) disturb(rng *rand.Rand) {
+	var faults errgroup.Group
+	for end := time.Now().Add(time.Duration(*secondsFlag) * time.Second); time.Now().Before(end); {
+		i := rng.IntN(len(s.vms))
+		v := s.vms[i]
+		length := time.Duration(300+rng.IntN(1500)) * time.Millisecond
+		kind := rng.IntN(9)
+		faults.Go(func() error { return s.fault(v, kind, length) })
+		time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
+	}
+	if err := faults.Wait(); err != nil {
+		s.ledger.violate("the harness failed: %v", err)
+	}
+	s.store.set(false, false, 0)
+}
+
+// fault plays one fault. Faults of processes and of the target of one VM take turns.
+func (s *site) fault(v *vm, kind int, length time.Duration) error {
+	switch kind {
+	case 0:
+		return v.exclusively(func() error { return v.restart(syscall.SIGTERM) })
+	case 1:
+		return v.exclusively(func() error { return v.restart(syscall.SIGKILL) })
+	case 2:
+		return v.exclusively(func() error {
+			v.signal(syscall.SIGSTOP)
+			time.Sleep(length)
+			v.signal(syscall.SIGCONT)
+			return nil
+		})
+	case 3:
+		v.signal(syscall.SIGHUP)
+		return s.configure()
+	case 4:
+		s.store.set(true, false, 0)
+		time.Sleep(length)
+		s.store.set(false, false, 0)
+	case 5:
+		s.store.set(false, true, 0)
+		time.Sleep(length)
+		s.store.set(false, false, 0.3)
+	case 6:
+		return v.exclusively(func() error {
+			v.target.leave()
+			return v.replaceTarget()
+		})
+	case 7:
+		return v.exclusively(func() error {
+			v.target.stop()
+			time.Sleep(length / 4)
+			return v.replaceTarget()
+		})
+	case 8:
+		v.target.mu.Lock()
+		v.target.lose = 0.2
+		v.target.mu.Unlock()
+		time.Sleep(length)
+		v.target.mu.Lock()
+		v.target.lose = 0
+		v.target.mu.Unlock()
+	}
+	return nil
+}
+
+// exclusively plays a fault unless another one holds the VM.
+func (v *vm) exclusively(f func() error) error {
+	if !v.busy.TryLock() {
+		return nil
+	}
+	defer v.busy.Unlock()
+	return f()
+}
+
+func (v *vm) replaceTarget() error {
+	t, err := startTarget(v, v.service)
+	if err == nil {
+		v.target = t
+	}
+	return err
+}
--- /dev/null
+++ b/internal/soak/target_test.go
@@ -0,0 +1,209 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	slots     = 6
+	work      = 25 * time.Millisecond
+	drain     = 2 * time.Second
+	beatEvery = 300 * time.Millisecond
+)
+
+// appTarget stands in for a target: it has slots, phases in which it is slow,
+// announces itself to the daemon beside it and keeps a ledger of what it ran.
+type appTarget struct {
+	vm      *vm
+	id      string
+	born    int64
+	service string
+	server  *http.Server
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	sequence int
+	running  int
+	draining bool
+	ackedAt  time.Time // when the daemon acknowledged the drain
+	slow     bool
+	lose     float64 // share of the runs whose answer is lost
+}
+
+// startTarget starts a new incarnation beside the daemon of a VM.
+func startTarget(v *vm, service string) (*appTarget, error) {
+	t := &appTarget{vm: v, id: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().UnixMilli(), service: service}
+	listener, err := listen(v.address(portTarget))
+	if err != nil {
+		return nil, err
+	}
+	t.server = &http.Server{Handler: t}
+	ctx, cancel := context.WithCancel(v.site.ctx)
+	t.cancel = cancel
+	v.site.group.Go(func() error {
+		t.server.Serve(listener)
+		return nil
+	})
+	v.site.group.Go(func() error { return t.beat(ctx) })
+	return t, nil
+}
+
+// listen binds an address that the last owner may not have left yet.
+func listen(address string) (net.Listener, error) {
+	for range 50 {
+		if l, err := net.Listen("tcp4", address); err == nil {
+			return l, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return net.Listen("tcp4", address)
+}
+
+// stop ends the target as a crash does.
+func (t *appTarget) stop() {
+	t.cancel()
+	t.server.Close()
+}
+
+// leave drains the target as planned and ends it.
+func (t *appTarget) leave() {
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
+	for range 20 {
+		if t.sendBeat() {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.mu.Lock()
+	t.ackedAt = time.Now()
+	t.mu.Unlock()
+	time.Sleep(drain + 300*time.Millisecond)
+	t.call("instances.deregister", nil)
+	t.stop()
+}
+
+func (t *appTarget) beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		t.slow = rand.Float64() < 0.25
+		t.mu.Unlock()
+		t.sendBeat()
+		select {
+		case <-time.After(beatEvery):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (t *appTarget) sendBeat() bool {
+	t.mu.Lock()
+	t.sequence++
+	state := "ready"
+	if t.draining {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"address": t.vm.address(portTarget), "born": t.born,
+		"info":   map[string]any{"service": t.service, "version": "v1", "zone": t.vm.zone, "slots": slots},
+		"status": map[string]any{"state": state, "seq": t.sequence, "coldRemainingS": 0},
+	})
+	t.mu.Unlock()
+	if err != nil {
+		panic(err)
+	}
+	return t.call("instances.heartbeat", body)
+}
+
+func (t *appTarget) call(name string, body []byte) bool {
+	at := "http://" + t.vm.address(portControl) + "/pollenscale/rpc?call=" + name + "&of=" + t.id
+	client := http.Client{Timeout: time.Second}
+	r, err := client.Post(at, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (t *appTarget) load(h http.Header) {
+	level := 100
+	if t.slow {
+		level = 500
+	}
+	h.Set("X-Pollenscale-Server-Load", fmt.Sprintf("%d,0,%d,%d", t.running, slots, level))
+	h.Set("X-Pollenscale-Instance-Id", t.id)
+}
+
+func (t *appTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Pollenscale-Try-Id")
+	t.mu.Lock()
+	t.load(w.Header())
+	factor := time.Duration(1)
+	if t.slow {
+		factor = 5
+	}
+	late := !t.ackedAt.IsZero() && arrived.Sub(t.ackedAt) > drain
+	expected := r.Header.Get("X-Pollenscale-Expect-Instance")
+	full := t.running >= slots
+	lost := rand.Float64() < t.lose
+	admitted := id != "" && expected == t.id && !full
+	if admitted {
+		t.running++
+	}
+	t.mu.Unlock()
+	if r.URL.Path == "/health" {
+		return
+	}
+	w.Header().Set("X-Pollenscale-Try-Id", id)
+	switch {
+	case expected != t.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case !admitted:
+		w.Header().Set("X-Pollenscale-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		t.mu.Lock()
+		t.running--
+		t.mu.Unlock()
+	}()
+	ledger := t.vm.site.ledger
+	ledger.ran(id, t, r, body)
+	if late {
+		ledger.violate("DRAIN: %s reached %s %s after its drain was acknowledged", id, t.id, arrived.Sub(t.ackedAt))
+	}
+	select {
+	case <-time.After(factor * time.Duration(float64(work)*(0.6+rand.Float64()))):
+	case <-r.Context().Done():
+		return
+	}
+	if lost {
+		hangUp(w)
+		return
+	}
+	w.Header().Set("X-Pollenscale-Response-Stamp", "stamp-"+id)
+	w.Write([]byte(answerTo(id)))
+}
+
+// answerTo is the whole answer to a request.
+func answerTo(id string) string { return strings.Repeat(id+"\n", 60) }
