--- /dev/null
+++ b/core/choice/home_test.go
@@ -0,0 +1,61 @@
+package choice_test
+
+import (
+	"testing"
+	"time"
+
+	"pollenscale/core/choice"
+	"pollenscale/core/fleet"
+
+	"github.com/matryer/is"
+)
+
+// TestStaysHome guards against requests that pay for a way to another region
+// although a target at home answers in time, and against long bodies that leave
+// their zone without need.
+func TestStaysHome(t *testing.T) {
+	home := fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}
+	now := time.Unix(1000, 0)
+	targets := []fleet.Target{
+		{Daemon: "home", Incarnation: 1, Place: home, Service: "agenda", State: fleet.Serving, Slots: 9},
+		{Daemon: "sister", Incarnation: 1, Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-b"}, Service: "agenda", State: fleet.Serving, Slots: 9},
+		{Daemon: "far", Incarnation: 1, Place: fleet.Place{Region: "bog", AvailabilityZone: "bog-a"}, Service: "agenda", State: fleet.Serving, Slots: 9},
+	}
+	const waiting, work = 150 * time.Millisecond, 120 * time.Millisecond
+	cases := []struct {
+		name    string
+		request choice.Request
+		want    fleet.DaemonID
+		queues  bool
+	}{
+		{"home answers in time", choice.Request{InTime: now.Add(300 * time.Millisecond), Tried: []fleet.DaemonID{"home", "sister"}}, "home", true},
+		{"home would be late", choice.Request{InTime: now.Add(250 * time.Millisecond), Tried: []fleet.DaemonID{"home", "sister"}}, "far", false},
+		{"a long body stays in the zone", choice.Request{InTime: now.Add(300 * time.Millisecond), Bulk: true, Tried: []fleet.DaemonID{"home"}}, "home", true},
+		{"a late long body leaves the zone", choice.Request{InTime: now.Add(200 * time.Millisecond), Bulk: true, Tried: []fleet.DaemonID{"home"}}, "sister", false},
+		{"a late long body stays in the region", choice.Request{InTime: now.Add(200 * time.Millisecond), Bulk: true, Tried: []fleet.DaemonID{"home", "sister"}}, "home", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			chooser := choice.New(home)
+			chooser.Now = func() time.Time { return now }
+			chooser.SetTargets(targets)
+			for _, target := range targets[:2] {
+				wait := waiting
+				if target.Daemon == "sister" {
+					wait += time.Millisecond
+				}
+				chooser.ObserveAt(fleet.Load{
+					Daemon: target.Daemon, Incarnation: 1, Sequence: 1, State: fleet.Serving, Slots: 9, Running: 9,
+					WaitLow: wait, WaitUrgent: wait, Service: work,
+				}, now)
+			}
+			r := c.request
+			r.Service, r.Work = "agenda", work
+			got, err := chooser.Pick(r)
+			is.NoErr(err)
+			is.Equal(got.Target.Daemon, c.want)
+			is.Equal(got.StartBy.IsZero(), c.queues)
+		})
+	}
+}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -75,17 +75,17 @@
 	defer l.mu.Unlock()
 	l.counts[fmt.Sprint(status)]++
 	e := l.entries[id]
-	switch {
-	case status == http.StatusOK:
+	switch status {
+	case http.StatusOK:
 		if header.Get("X-Pollenscale-Response-Stamp") != "stamp-"+id || body != answerTo(id) {
 			l.violations = append(l.violations, fmt.Sprintf("MIXED: %s got %q", id, strings.SplitN(body, "\n", 2)[0]))
 		}
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		if e.runs > 0 {
 			l.violations = append(l.violations, "REFUSED: "+id+" has run")
 		}
 		e.refused = true
-	case status == http.StatusNotFound || status == http.StatusBadRequest:
+	case http.StatusNotFound, http.StatusBadRequest:
 		l.violations = append(l.violations, fmt.Sprintf("DENIED: %s got %d", id, status))
 	}
 }
