internal/sidecar: write the own record before reading the others, set mute daemons aside

Cause: daemons that start together read the store before the others have written. A frozen machine kept its requests until their deadline.

Ruled out: lost datagrams; the daemons did not know each other's addresses.

Change: the own row is written first, then all are read, so that of two daemons the later writer finds the other and announces itself. The row of an earlier process comes back as the conflict of that write. A daemon that does not answer a check is set aside, and idempotent requests leave it.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -154,7 +154,7 @@
 	open := s.opener.Open(*c.Target)
 	defer open.Close()
 	a, v := s.sendAttempt(ctx, q, t, c.Target, open.Ref)
-	if v.err != nil && v.err.Reason == outcome.ConnectionLost && v.err.Outcome == outcome.Unknown {
+	if v.err != nil && v.err != errMute && v.err.Reason == outcome.ConnectionLost && v.err.Outcome == outcome.Unknown {
 		v = s.settle(ctx, q, c.Target, open.Ref, v)
 	}
 	return a, v
@@ -204,25 +204,35 @@
 func checkAfter(work time.Duration) time.Duration { return max(minCheck, 2*work) }
 
 // checkAttempt asks the target's daemon whether it knows the attempt, and ends
-// the attempt if it does not.
+// the attempt if it does not. A daemon that does not answer gets no more
+// requests, and an idempotent request goes elsewhere.
 func (s *Sidecar) checkAttempt(ctx context.Context, cancel context.CancelCauseFunc, q *request, to *fleet.Target, ref attempt.Ref) {
 	o, err := s.ask(ctx, callCheck, q, to, ref)
-	if err != nil || o != outcome.NotRun {
-		return
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		s.setAside(to, err)
+		if q.route.Idempotent() {
+			cancel(errMute)
+		}
+	case o == outcome.NotRun:
+		s.log.Warn("entry: connection silent.", "request", q.ID, "target", to.Daemon, "waited", s.now().Sub(q.arrivedAt))
+		s.peer(to.PeerAddress).Flush()
+		cancel(errSilent)
 	}
-	s.log.Warn("entry: connection silent.", "request", q.ID, "target", to.Daemon, "waited", s.now().Sub(q.arrivedAt))
-	s.peer(to.PeerAddress).Flush()
-	cancel(errSilent)
 }
 
+// errMute ends an idempotent attempt at a daemon that no longer answers.
+var errMute = failure(outcome.Unknown, outcome.ConnectionLost, "the target's daemon does not answer")
+
 // errSilent ends an attempt that the target's daemon has bindingly refused since
 // it never arrived.
 var errSilent = failure(outcome.NotRun, outcome.ConnectionLost, "the connection is silent; settled as not run")
 
 // peerFailed says what a failed exchange with another daemon means.
 func (s *Sidecar) peerFailed(ctx context.Context, to *fleet.Target, err error) verdict {
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return verdict{err: errSilent}
+	if e, ok := context.Cause(ctx).(*outcome.Error); ok { //nolint:errorlint // set by checkAttempt, unwrapped
+		return verdict{err: e}
 	}
 	if ctx.Err() != nil {
 		return verdict{err: ended(ctx)}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -25,7 +25,7 @@
 	listLimit = 500
 	// reconcileInterval is how often the records in the store are read. Changes
 	// arrive by datagram; this finds what datagrams lost.
-	reconcileInterval = 15 * time.Second
+	reconcileInterval = 30 * time.Second
 	// storeRetry is the pause after a failed call, with as much jitter.
 	storeRetry = 300 * time.Millisecond
 	// greetInterval is how often the own record is sent to the daemons of the own
@@ -56,10 +56,7 @@
 	s.publisher.sequence++
 	s.publisher.waiting = append(s.publisher.waiting, written)
 	s.publisher.mu.Unlock()
-	s.roster.Offer(s.ownRecord())
-	if s.node != nil {
-		s.node.Announce(s.others())
-	}
+	s.announceOwn()
 	select {
 	case s.publisher.wake <- struct{}{}:
 	default:
@@ -67,6 +64,14 @@
 	return written
 }
 
+// announceOwn tells the other daemons the own record.
+func (s *Sidecar) announceOwn() {
+	s.roster.Offer(s.ownRecord())
+	if s.node != nil {
+		s.node.Announce(s.others())
+	}
+}
+
 // ownRecord describes this daemon and its target.
 func (s *Sidecar) ownRecord() roster.Record {
 	settings := s.settings.Load()
@@ -157,17 +162,12 @@
 		return false
 	}
 	s.meters.store.regained(s.log)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if !result.Committed {
-		for _, row := range result.Conflicts {
-			p.version = row.Version
-		}
-		if len(result.Conflicts) == 0 {
-			p.version = 0
-		}
+		s.meetConflict(result.Conflicts)
 		return false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if len(result.Versions) > 0 {
 		p.version = result.Versions[0]
 	}
@@ -178,23 +178,40 @@
 	return true
 }
 
-// keepMembers reads the records of all daemons at the start and from time to
-// time, and greets daemons between.
+// meetConflict takes over the own row as an earlier process, or a write whose
+// answer was lost, has left it.
+func (s *Sidecar) meetConflict(rows []store.Row) {
+	version := store.Version(0)
+	for _, row := range rows {
+		version = row.Version
+		if version > 0 {
+			s.restore(row)
+		}
+	}
+	s.publisher.mu.Lock()
+	s.publisher.version = version
+	s.publisher.mu.Unlock()
+}
+
+// keepMembers makes this daemon and the others known to each other at the start,
+// reads the records of all from time to time, and greets daemons between. The
+// own record is written before the others are read: of two daemons that start at
+// the same time, the one that writes later finds the other.
 func (s *Sidecar) keepMembers(ctx context.Context) error {
-	for !s.readMembers(ctx, true) {
+	for !s.writeRecord(ctx) || !s.readMembers(ctx) {
 		s.greet(0)
 		if !wait.For(ctx, jittered(storeRetry)) {
 			return nil
 		}
 	}
-	s.changed()
+	s.announceOwn()
 	next := s.now().Add(jittered(reconcileInterval))
 	for round := 0; wait.For(ctx, jittered(greetInterval)); round++ {
 		s.greet(round)
 		if s.now().Before(next) {
 			continue
 		}
-		if s.readMembers(ctx, false) {
+		if s.readMembers(ctx) {
 			next = s.now().Add(jittered(reconcileInterval))
 		} else {
 			next = s.now().Add(jittered(storeRetry))
@@ -223,7 +240,7 @@
 }
 
 // readMembers merges the records in the store.
-func (s *Sidecar) readMembers(ctx context.Context, first bool) bool {
+func (s *Sidecar) readMembers(ctx context.Context) bool {
 	after := ""
 	for {
 		rows, err := s.tables.List(ctx, membersTable, "", after, listLimit)
@@ -233,7 +250,7 @@
 		}
 		s.meters.store.regained(s.log)
 		for _, row := range rows {
-			s.takeRow(row, first)
+			s.takeRow(row)
 			after = row.Key
 		}
 		if len(rows) < listLimit {
@@ -242,30 +259,38 @@
 	}
 }
 
-// takeRow merges one row. The own row tells what an earlier process knew.
-func (s *Sidecar) takeRow(row store.Row, first bool) {
-	var r roster.Record
-	if err := json.Unmarshal(row.Value, &r); err != nil || string(r.Daemon) != row.Key {
-		s.log.Warn("member: row set aside.", "key", row.Key, "version", row.Version)
-		return
-	}
-	if r.Daemon == s.id {
-		if first {
-			s.restore(r, row.Version)
-		}
+// takeRow merges one row.
+func (s *Sidecar) takeRow(row store.Row) {
+	r, err := decodeRecord(row)
+	if err != nil {
+		s.log.Warn("member: row set aside.", "key", row.Key, "version", row.Version, "error", err)
 		return
 	}
-	if s.roster.Offer(r) {
+	if r.Daemon != s.id && s.roster.Offer(r) {
 		s.logMember(r, "store")
 	}
 }
 
-// restore takes over the state of the target that an earlier process recorded.
-func (s *Sidecar) restore(r roster.Record, version store.Version) {
-	s.publisher.mu.Lock()
-	s.publisher.version = version
-	s.publisher.mu.Unlock()
-	if r.Target == "" {
+func decodeRecord(row store.Row) (roster.Record, error) {
+	var r roster.Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, err
+	}
+	if string(r.Daemon) != row.Key {
+		return r, errors.Newf("the row names the daemon %q", r.Daemon)
+	}
+	return r, nil
+}
+
+// restore takes over the state of the target that an earlier process recorded in
+// the own row.
+func (s *Sidecar) restore(row store.Row) {
+	r, err := decodeRecord(row)
+	if err != nil {
+		s.log.Warn("member: own row set aside.", "version", row.Version, "error", err)
+		return
+	}
+	if r.Target == "" || r.Incarnation >= s.incarnation {
 		return
 	}
 	view := localtarget.View{
@@ -279,7 +304,7 @@
 	}
 	s.limit.SetSlots(r.Slots)
 	s.limit.Restart()
-	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", version)
+	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", row.Version)
 }
 
 // recallDrain takes over a drain that an earlier process of this daemon
