core/limit: stop before the knee of a target

Ruled out: a slowdown of all running requests; those that started earlier keep their time.

Change: the limit learns the time taken over the time expected for each number of running requests and stops below the first level that is 1.3 times the base; one request every 3 s tries whether the knee is still there.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -287,7 +287,11 @@
 	if q.paused {
 		return 0
 	}
-	return q.limit.Value() - q.running - len(q.held)
+	free := q.limit.Value() - q.running - len(q.held)
+	if free == 0 && q.limit.Trial(q.running, now) {
+		return 1
+	}
+	return free
 }
 
 // hold keeps the slot of a failed request until the usual service time is over,
@@ -325,6 +329,7 @@
 	t.state = granted
 	t.started = now
 	q.running++
+	t.level = q.running
 	t.charged = t.rank.mean
 	if t.charged == 0 {
 		t.charged = q.mean
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -30,6 +30,7 @@
 	state   state
 	arrived time.Time
 	started time.Time
+	level   int     // requests running when it started, itself included
 	charged float64 // seconds of slot time
 	due     bool    // started for the floor of its rank
 }
@@ -96,6 +97,7 @@
 		q.limit.Observe(took, q.running, ok)
 	}
 	if ran && ok {
+		q.limit.ObserveStart(t.level, took, t.request.Work)
 		q.learn(t.rank, took.Seconds())
 	}
 	q.correct(t, took.Seconds())
--- /dev/null
+++ b/core/limit/knee_test.go
@@ -0,0 +1,73 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pollenscale/core/limit"
+
+	"github.com/matryer/is"
+)
+
+// saturate runs 30 s of saturation at a target with 9 slots whose requests take
+// 1.7 times as long when they start as the 8th or 9th, and returns the requests
+// served in the second half.
+func saturate(seed uint64, slow float64, limited func(*limit.Limit) int) (served, last int) {
+	const slots, work = 9, 150 * time.Millisecond
+	rng := rand.New(rand.NewPCG(seed, 1))
+	l := limit.Warm(slots)
+	type job struct {
+		level      int
+		start, end time.Time
+	}
+	var running []job
+	begin := time.Unix(1000, 0)
+	for now := begin; now.Sub(begin) < 30*time.Second; now = now.Add(time.Millisecond) {
+		kept := running[:0]
+		for _, j := range running {
+			if j.end.After(now) {
+				kept = append(kept, j)
+				continue
+			}
+			took := j.end.Sub(j.start)
+			l.Observe(took, len(running), true)
+			l.ObserveStart(j.level, took, work)
+			if now.Sub(begin) > 15*time.Second {
+				served++
+			}
+		}
+		running = kept
+		// The load rises over the first seconds, so that all levels are seen.
+		most := min(limited(l), 1+int(now.Sub(begin)/(300*time.Millisecond)))
+		for len(running) < most || len(running) == most && most == limited(l) && l.Trial(len(running), now) {
+			took := float64(work) * (0.7 + 0.6*rng.Float64())
+			if len(running)+1 > 7 {
+				took *= slow
+			}
+			running = append(running, job{level: len(running) + 1, start: now, end: now.Add(time.Duration(took))})
+		}
+	}
+	return served, l.Value()
+}
+
+// TestKnee guards against a target that is filled up to its announced slots
+// although it serves more with fewer requests at a time, and against slots that
+// stay empty at a target without a knee.
+func TestKnee(t *testing.T) {
+	all := func(*limit.Limit) int { return 9 }
+	learnt := func(l *limit.Limit) int { return l.Value() }
+	for seed := range uint64(5) {
+		is := is.New(t)
+		without, _ := saturate(seed, 1.7, all)
+		with, last := saturate(seed, 1.7, learnt)
+		t.Logf("served in 15 s: %d with all slots, %d up to the knee", without, with)
+		is.Equal(last, 7)
+		is.True(float64(with) > 1.2*float64(without))
+
+		plain, _ := saturate(seed, 1, all)
+		kept, last := saturate(seed, 1, learnt)
+		is.Equal(last, 9)
+		is.True(float64(kept) > 0.98*float64(plain))
+	}
+}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -62,6 +62,7 @@
 	windows  int
 	peak     int // highest concurrency in the current window
 	failures float64
+	knee     knee
 }
 
 // New returns a limit for a target that announces the given number of slots,
@@ -140,13 +141,35 @@
 	if l.failures >= failing {
 		return 1
 	}
-	return max(1, int(l.value))
+	return max(1, l.knee.limit(int(l.value)))
+}
+
+// ObserveStart records how long a request took that started as the n-th to run,
+// and how long it was expected to take.
+func (l *Limit) ObserveStart(n int, took, expected time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.knee.observe(n, took, expected)
+}
+
+// Trial reports whether a request may start beyond the knee now, to see whether
+// it is still there. It is asked when all slots up to the knee are taken.
+func (l *Limit) Trial(running int, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	within := l.knee.limit(int(l.value))
+	if running != within || within >= int(l.value) || now.Before(l.knee.trialAt) {
+		return false
+	}
+	first := l.knee.trialAt.IsZero()
+	l.knee.trialAt = now.Add(kneeTrial)
+	return !first
 }
 
 // closeWindow moves the limit by the samples of one window.
 func (l *Limit) closeWindow() {
 	short := l.sum / float64(l.samples)
-	saturated := l.peak >= int(l.value)
+	saturated := l.peak >= l.current()
 	l.sum, l.samples, l.peak = 0, 0, 0
 	if l.long == 0 {
 		l.long = short
