internal/sidecar: make a restored state known, join at once, knee learns from warm targets

Others had heard of the new process before it read its old row; the record restored from it had the same sequence and was ignored.

Ruled out: the knee.

Change: a restored state raises the sequence of the record. A conflict is retried at once; a daemon is ready when it has read the others' records, at the latest after 2 s. A new target is asked for its load before the first start. The knee learns nothing from cold targets, tries every second and forgets after two fair trials. Eight tenths of the retry ratio are used.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -60,6 +60,9 @@
 	// Work is how long the request is expected to hold its slot; zero means the
 	// usual time of its rank.
 	Work time.Duration
+	// Untypical requests meet a target that is slow for a reason of its own, such
+	// as a cold start. Nothing is learned from them about its slots.
+	Untypical bool
 }
 
 // Queue is the queue of one target. It is safe for concurrent use.
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -97,7 +97,9 @@
 		q.limit.Observe(took, q.running, ok)
 	}
 	if ran && ok {
-		q.limit.ObserveStart(t.level, took, t.request.Work)
+		if !t.request.Untypical {
+			q.limit.ObserveStart(t.level, took, t.request.Work)
+		}
 		q.learn(t.rank, took.Seconds())
 	}
 	q.correct(t, took.Seconds())
--- a/core/limit/knee.go
+++ b/core/limit/knee.go
@@ -15,7 +15,11 @@
 	kneeRise = 1.3
 	// kneeTrial is how often a request is started beyond the knee to see whether
 	// it is still there.
-	kneeTrial = 3 * time.Second
+	kneeTrial = time.Second
+	// kneeFair is the rise up to which such a request counts as not slowed down,
+	// and kneeFairs the number of them in a row that lifts the limit.
+	kneeFair  = 1.15
+	kneeFairs = 2
 )
 
 // knee learns from which number of running requests on a target takes longer
@@ -26,6 +30,7 @@
 type knee struct {
 	levels  []level
 	trialAt time.Time // when the next request may start beyond the knee
+	fairs   int       // trials in a row that were not slowed down
 }
 
 // level is what is known of requests that started as the n-th to run.
@@ -42,12 +47,31 @@
 	for len(k.levels) <= n {
 		k.levels = append(k.levels, level{})
 	}
+	ratio := math.Log(took.Seconds() / expected.Seconds())
+	if k.limit(n) < n && k.forgives(n, ratio) {
+		return
+	}
 	l := &k.levels[n]
 	l.samples++
-	ratio := math.Log(took.Seconds() / expected.Seconds())
 	l.mean += (ratio - l.mean) * max(kneeWeight, 1/float64(l.samples))
 }
 
+// forgives records a request that started beyond the knee. When a few in a row
+// were not slowed down, what was learned from that level on is forgotten.
+func (k *knee) forgives(n int, ratio float64) bool {
+	base, known := k.base(n)
+	if !known || ratio > base+math.Log(kneeFair) {
+		k.fairs = 0
+		return false
+	}
+	if k.fairs++; k.fairs < kneeFairs {
+		return false
+	}
+	k.fairs = 0
+	clear(k.levels[k.limit(n)+1:])
+	return true
+}
+
 // base is the mean of the lower half of the levels up to n, if enough is known.
 func (k *knee) base(n int) (mean float64, known bool) {
 	samples, sum := 0, 0.0
--- a/core/limit/knee_test.go
+++ b/core/limit/knee_test.go
@@ -71,3 +71,24 @@
 		is.True(float64(kept) > 0.98*float64(plain))
 	}
 }
+
+// TestKneeAfterRestart guards against a target that keeps a low limit for long
+// since its first requests were slow for another reason, as when it was cold.
+func TestKneeAfterRestart(t *testing.T) {
+	is := is.New(t)
+	const work = 100 * time.Millisecond
+	l := limit.Warm(9)
+	for range 20 {
+		l.ObserveStart(1, work, work)
+		l.ObserveStart(5, 2*work, work)
+	}
+	is.Equal(l.Value(), 4)
+	now := time.Unix(1000, 0)
+	is.True(!l.Trial(4, now)) // the first question starts the clock
+	for range 2 {
+		now = now.Add(time.Second)
+		is.True(l.Trial(4, now))
+		l.ObserveStart(5, work, work)
+	}
+	is.Equal(l.Value(), 9)
+}
--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -20,7 +20,7 @@
 	// ratioPart and extraPart are the parts of the fleet's bounds that daemons
 	// spend. The rest covers repeats that are not known to be any: arrivals that
 	// targets reject, and nested calls of a repeated request.
-	ratioPart = 0.5
+	ratioPart = 0.8
 	extraPart = 0.5
 	// slices is the number of parts of a window that are counted apart.
 	slices = 10
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -106,6 +106,7 @@
 	s.setTarget(address)
 	s.limit.Restart()
 	s.slowdown.Reset()
+	s.asked.Store(false)
 	s.queue.Resume()
 }
 
@@ -126,13 +127,21 @@
 	switch {
 	case r.URL.Path != s.protocol.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case s.stopping.Load() || s.holder.Current() == nil:
+	case s.stopping.Load() || s.holder.Current() == nil || !s.knowsOthers():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// joinTimeout is how long a daemon that cannot read the others' records keeps
+// clients away. Afterwards it serves with what it has heard.
+const joinTimeout = 2 * time.Second
+
+func (s *Sidecar) knowsOthers() bool {
+	return s.joined.Load() || s.now().Sub(s.startedAt) > joinTimeout
+}
+
 const (
 	// clientsGone is how long clients may go on sending after the daemon has
 	// said that it is not ready: the platform takes it out after two misses.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -141,8 +141,13 @@
 	}
 }
 
-// writeRecord writes the record of the moment and reports whether the store has it.
+// writeRecord writes the record of the moment and reports whether the store has
+// it. A conflict tells the version to replace, so that the next try is made at once.
 func (s *Sidecar) writeRecord(ctx context.Context) bool {
+	return s.tryRecord(ctx) || ctx.Err() == nil && !s.meters.store.gone.Load() && s.tryRecord(ctx)
+}
+
+func (s *Sidecar) tryRecord(ctx context.Context) bool {
 	p := &s.publisher
 	p.mu.Lock()
 	waiting := p.waiting
@@ -204,6 +209,7 @@
 			return nil
 		}
 	}
+	s.joined.Store(true)
 	s.announceOwn()
 	next := s.now().Add(jittered(reconcileInterval))
 	for round := 0; wait.For(ctx, jittered(greetInterval)); round++ {
@@ -304,6 +310,9 @@
 	}
 	s.limit.SetSlots(r.Slots)
 	s.limit.Restart()
+	s.publisher.mu.Lock()
+	s.publisher.sequence++
+	s.publisher.mu.Unlock()
 	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", row.Version)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 	worktimes worktime.Table
 	probing   singleflight.Group
 	slowed    chan struct{} // wakes followSlowdown
+	asked     atomic.Bool   // whether the target reports its load
 
 	mu      sync.Mutex
 	peers   map[string]*http1.Pool
@@ -71,6 +72,8 @@
 
 	publisher publisher
 	news      chan string // addresses of daemons with newer configuration or records
+	startedAt time.Time
+	joined    atomic.Bool // the records of the others were read
 	stopping  atomic.Bool
 	stopAt    atomic.Int64 // end of the grace time, nanoseconds since 1970
 	active    atomic.Int64 // requests under way at the entry
@@ -106,6 +109,7 @@
 		o(s)
 	}
 	s.settings.Store(&settings)
+	s.startedAt = s.now()
 	s.meters = s.newMeters()
 	s.publisher.wake = make(chan struct{}, 1)
 	s.opener = attempt.Opener{Daemon: s.id, Incarnation: s.incarnation}
--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -37,10 +37,11 @@
 }
 
 // slowNow reports whether the target is slowed down at this moment. It probes
-// the target unless an answer has just told. A target that reports no load, or
-// does not answer the probe, is taken as it is.
+// the target unless an answer has just told. A target that is new to the daemon
+// is asked once whether it reports its load at all; one that does not, or does
+// not answer the probe, is taken as it is.
 func (s *Sidecar) slowNow(ctx context.Context) bool {
-	if !s.slowdown.Known() {
+	if !s.slowdown.Known() && !s.asked.CompareAndSwap(false, true) {
 		return false
 	}
 	if !s.slowdown.Fresh(s.now()) {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"pollenscale/core/admit"
 	"pollenscale/core/attempt"
@@ -201,7 +202,10 @@
 func (s *Sidecar) enter(ctx context.Context, w *work) (*admit.Ticket, verdict) {
 	s.refreshPause(ctx)
 	for {
-		ticket, err := s.queue.Enter(ctx, admit.Request{Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy, Work: w.terms.work})
+		ticket, err := s.queue.Enter(ctx, admit.Request{
+			Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy,
+			Work: w.terms.work, Untypical: s.untypical(),
+		})
 		if err != nil {
 			return nil, verdict{err: asOutcome(err)}
 		}
@@ -212,6 +216,17 @@
 	}
 }
 
+// settleTime is how long after its start a daemon does not yet know whether the
+// target is cold.
+const settleTime = 3 * time.Second
+
+// untypical reports whether the target may be slow for a reason that has nothing
+// to do with the number of its requests.
+func (s *Sidecar) untypical() bool {
+	now := s.now()
+	return now.Before(s.local.View().ColdUntil) || now.Sub(s.startedAt) < settleTime || !s.slowdown.Known()
+}
+
 // receive reads a long body before the request starts, so that the target's slot
 // is not held by a slow link, and waits once more for a moment at which the
 // target is not slowed down.
