core/admit: judge requests of known work by their own time; store retries back off

Change: with the expected work known, 1.5 of it and a quarter of the time must be left. Pauses between failed store calls double from 0.3 s to 1 s.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -40,6 +40,11 @@
 	// longer queue serves no more requests, but those near their deadline finish
 	// late: with 1 the most urgent flood wastes 20% of the slot time, with 0.5 5%.
 	queuePart = 0.5
+	// workMargin is the time that a request must have left when it is expected to
+	// start, in its expected times, and knownQueuePart the part of its time that it
+	// may spend in the queue, where the expected time of its own kind is known.
+	workMargin     = 1.5
+	knownQueuePart = 0.75
 	// pauseWeight is the weight of one pause in their smoothed length.
 	pauseWeight = 1.0 / 8
 	// minPause is the least expected length of a pause in seconds.
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -50,11 +50,11 @@
 	if deadline.IsZero() {
 		return true
 	}
-	work := t.request.Work
+	work, part := time.Duration(workMargin*float64(t.request.Work)), 1-knownQueuePart
 	if work == 0 {
-		work = seconds(t.rank.mean + deviations*t.rank.spread)
+		work, part = seconds(t.rank.mean+deviations*t.rank.spread), 1-queuePart
 	}
-	need := max(work, time.Duration((1-queuePart)*float64(deadline.Sub(now))))
+	need := max(work, time.Duration(part*float64(deadline.Sub(now))))
 	return !begin.Add(need).After(deadline)
 }
 
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -17,14 +17,19 @@
 
 // watchConfig keeps the operator's configuration.
 func (s *Sidecar) watchConfig(ctx context.Context) error {
+	pause := storeRetry
 	for ctx.Err() == nil {
 		version, ok := s.readConfig(ctx)
+		if ok {
+			pause = storeRetry
+		}
 		for ok {
 			version, ok = s.awaitConfig(ctx, version)
 		}
-		if !wait.For(ctx, jittered(storeRetry)) {
+		if !wait.For(ctx, jittered(pause)) {
 			return nil
 		}
+		pause = min(2*pause, maxStoreRetry)
 	}
 	return nil
 }
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -26,8 +26,10 @@
 	// reconcileInterval is how often the records in the store are read. Changes
 	// arrive by datagram; this finds what datagrams lost.
 	reconcileInterval = 30 * time.Second
-	// storeRetry is the pause after a failed call, with as much jitter.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the first pause after a failed call; it doubles up to
+	// maxStoreRetry, so that the store is found again within 1.5 s of its return.
+	storeRetry    = 300 * time.Millisecond
+	maxStoreRetry = time.Second
 	// greetInterval is how often the own record is sent to the daemons of the own
 	// zone and to a few others, which finds daemons that restarted.
 	greetInterval = time.Second
@@ -133,8 +135,8 @@
 			return nil
 		case <-s.publisher.wake:
 		}
-		for !s.writeRecord(ctx) {
-			if !wait.For(ctx, jittered(storeRetry)) {
+		for pause := storeRetry; !s.writeRecord(ctx); pause = min(2*pause, maxStoreRetry) {
+			if !wait.For(ctx, jittered(pause)) {
 				return nil
 			}
 		}
@@ -203,9 +205,9 @@
 // own record is written before the others are read: of two daemons that start at
 // the same time, the one that writes later finds the other.
 func (s *Sidecar) keepMembers(ctx context.Context) error {
-	for !s.writeRecord(ctx) || !s.readMembers(ctx) {
+	for pause := storeRetry; !s.writeRecord(ctx) || !s.readMembers(ctx); pause = min(2*pause, maxStoreRetry) {
 		s.greet(0)
-		if !wait.For(ctx, jittered(storeRetry)) {
+		if !wait.For(ctx, jittered(pause)) {
 			return nil
 		}
 	}
@@ -220,7 +222,7 @@
 		if s.readMembers(ctx) {
 			next = s.now().Add(jittered(reconcileInterval))
 		} else {
-			next = s.now().Add(jittered(storeRetry))
+			next = s.now().Add(jittered(maxStoreRetry))
 		}
 	}
 	return nil
