--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -43,6 +43,8 @@
 // write is under way is written next.
 type publisher struct {
 	wake chan struct{}
+	// writing is held by a write: keepMembers and publish both write.
+	writing sync.Mutex
 
 	mu       sync.Mutex
 	sequence uint64
@@ -151,6 +153,8 @@
 
 func (s *Sidecar) tryRecord(ctx context.Context) bool {
 	p := &s.publisher
+	p.writing.Lock()
+	defer p.writing.Unlock()
 	p.mu.Lock()
 	waiting := p.waiting
 	version := p.version
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -1,12 +1,16 @@
 package sidecar
 
 import (
+	"context"
 	"encoding/json"
+	"sync"
 	"testing"
+	"time"
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/roster"
 	"pollenscale/core/store"
+	"pollenscale/standin/memstore"
 
 	"github.com/matryer/is"
 )
@@ -43,3 +47,37 @@
 	v := s.turnAway(s.local.View(), &work{terms: terms{service: "agenda"}})
 	is.True(v.err != nil)
 }
+
+// TestPublishOnce guards against two writers of the own record, at the start and
+// on a change, that both declare the same changes written.
+func TestPublishOnce(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		tables := memstore.New().Tables()
+		transact := tables.Transact
+		tables.Transact = func(ctx context.Context, t store.Transaction) (store.Result, error) {
+			t.Conditions = nil // as when each writer knows the newest version
+			result, err := transact(ctx, t)
+			time.Sleep(time.Millisecond)
+			return result, err
+		}
+		s := New(Settings{Peers: "127.0.0.1:1"}, Protocol{}, WithTables(tables))
+		var written []<-chan struct{}
+		for range 4 {
+			written = append(written, s.changed())
+		}
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Go(func() {
+				for !s.writeRecord(t.Context()) {
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		writers.Wait()
+		for _, w := range written {
+			<-w
+		}
+		is.Equal(len(s.publisher.waiting), 0)
+	}
+}
