--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -149,7 +149,9 @@
 		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(), work: work,
 	}
 	if c.Target.Daemon == s.id {
-		return s.runHere(ctx, q, t)
+		a, v := s.runHere(ctx, q, t)
+		s.chooser.Observe(s.ownLoad())
+		return a, v
 	}
 	open := s.opener.Open(*c.Target)
 	defer open.Close()
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -109,10 +109,13 @@
 	return a.writeTo(w, head)
 }
 
-func (s *Sidecar) writeLoad(h http.Header) {
+func (s *Sidecar) writeLoad(h http.Header) { writeLoad(h, s.ownLoad()) }
+
+// ownLoad is the load of the target beside the daemon.
+func (s *Sidecar) ownLoad() fleet.Load {
 	l := s.queue.Load(s.now())
-	l.State = s.ownState()
-	writeLoad(h, l)
+	l.Daemon, l.Incarnation, l.State = s.id, s.incarnation, s.ownState()
+	return l
 }
 
 // serveAttempt records an attempt and runs it.
