--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test lint fmt generate prove mutants bench-path check-upload measure slopes demo
+.PHONY: build test lint fmt generate prove soak mutants bench-path check-upload measure slopes demo
 
 SEED ?= 1
 RUNS ?= 200
@@ -12,7 +12,8 @@
 
 # Packages whose state is shared by several threads, tested with the race detector.
 RACE := ./core/admit ./core/attempt ./core/choice ./core/config ./core/dispatch ./core/idempotency \
-	./core/lease ./core/limit ./core/poison ./core/retry ./core/upload ./internal/daemon ./io/...
+	./core/lease ./core/limit ./core/localtarget ./core/poison ./core/retry ./core/slowdown ./core/upload \
+	./internal/daemon ./internal/logs ./internal/sidecar ./io/... ./platform
 
 test: build
 	$(GO) test ./...
@@ -22,6 +23,10 @@
 prove:
 	$(GO) test ./internal/prove -run TestPromises -count=1 -v -timeout 0 -args -seed $(SEED) -runs $(RUNS)
 
+# Real daemons under faults from outside; prints the seed of a failure.
+soak:
+	$(GO) test ./internal/soak -run TestSoak -count=1 -v -timeout 0 -args -seed $(SEED) -runs $(RUNS)
+
 # Switches each mechanism off, one at a time, and lists the tests that then fail.
 mutants:
 	POLLENSCALE_MUTANTS=1 $(GO) test ./internal/mutant -run TestMutants -count=1 -v -timeout 20m
