--- a/core/localtarget/localtarget.go
+++ b/core/localtarget/localtarget.go
@@ -74,17 +74,26 @@
 }
 
 // Restore takes over what an earlier process of the daemon recorded, unless a
-// heartbeat came first.
-func (s *State) Restore(v View) bool {
+// heartbeat came first. A departure that came first holds.
+func (s *State) Restore(v View, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.view.ID != "" {
 		return false
 	}
+	if s.gone(v.ID, v.Born) {
+		v.State, v.DrainedAt = fleet.Draining, now
+	}
 	s.view = v
 	return true
 }
 
+// gone reports whether the incarnation has left.
+func (s *State) gone(id exchange.TargetID, born int64) bool {
+	d, left := s.left[id]
+	return left && d.born >= born
+}
+
 // Beat applies a heartbeat.
 func (s *State) Beat(h Heartbeat, now time.Time) Verdict {
 	s.mu.Lock()
@@ -93,7 +102,7 @@
 	if !same && h.Born < s.view.Born {
 		return Stale
 	}
-	if d, gone := s.left[h.ID]; gone && d.born >= h.Born {
+	if s.gone(h.ID, h.Born) {
 		return Stale
 	}
 	if same && h.Sequence <= s.sequence {
--- a/core/localtarget/localtarget_test.go
+++ b/core/localtarget/localtarget_test.go
@@ -42,7 +42,7 @@
 				if v.State == fleet.Draining {
 					v.DrainedAt = time.UnixMilli(1)
 				}
-				return strconv.FormatBool(s.Restore(v))
+				return strconv.FormatBool(s.Restore(v, time.UnixMilli(1)))
 			},
 			"state": func([]string) string {
 				if state := s.View().State; state != "" {
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -311,7 +311,7 @@
 	if r.TargetState == fleet.Draining {
 		view.DrainedAt = s.now()
 	}
-	if !s.local.Restore(view) {
+	if !s.local.Restore(view, s.now()) {
 		return
 	}
 	s.limit.SetSlots(r.Slots)
@@ -319,7 +319,7 @@
 	s.publisher.mu.Lock()
 	s.publisher.sequence++
 	s.publisher.mu.Unlock()
-	s.log.Info("target: state restored.", "target", r.Target, "state", r.TargetState, "version", row.Version)
+	s.log.Info("target: state restored.", "target", r.Target, "state", s.local.View().State, "version", row.Version)
 }
 
 // recallDrain takes over a drain that an earlier process of this daemon
