core/attempt, internal/sidecar: one question about attempts, no alias of outcome.New

Cause: Settle and Check repeated the look-up of an attempt; 'failure' only renamed outcome.New.

Change: Table.ask serves both questions.

--- a/core/attempt/table.go
+++ b/core/attempt/table.go
@@ -80,33 +80,26 @@
 // Settle returns a binding answer about an attempt. An attempt that is queued
 // or has not arrived becomes a tombstone, which refuses it from then on.
 func (t *Table) Settle(ref Ref) Settlement {
-	if ref.Target != t.Own {
-		return Settlement{Outcome: outcome.Unknown}
-	}
-	s := t.shard(ref.ID.Daemon)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := t.entry(s, ref)
-	if e == nil || ref.ID.Sequence < e.openFrom {
-		return Settlement{Outcome: outcome.Unknown}
-	}
-	e.raise(ref.OpenFrom)
-	r := e.records[ref.ID.Sequence]
-	if r == nil {
-		e.records[ref.ID.Sequence] = &Record{shard: s, state: NotRun}
-		return Settlement{Outcome: outcome.NotRun}
-	}
-	r.abandon()
-	if r.state == NotRun {
-		return Settlement{Outcome: outcome.NotRun}
-	}
-	return Settlement{Outcome: outcome.Run, Running: r.state == Running}
+	return t.ask(ref, func(e *entry, r *Record) Settlement {
+		e.raise(ref.OpenFrom)
+		r.abandon()
+		return Settlement{Outcome: outcome.Run, Running: r.state == Running}
+	})
 }
 
 // Check returns a binding answer about an attempt that may not have arrived: one
 // that has not becomes a tombstone. An attempt that arrived goes on, and the
 // answer says Run also while it is queued.
 func (t *Table) Check(ref Ref) Settlement {
+	return t.ask(ref, func(_ *entry, r *Record) Settlement {
+		return Settlement{Outcome: outcome.Run, Running: r.state != Finished}
+	})
+}
+
+// ask answers a question about an attempt: an unknown one becomes a tombstone,
+// and known says what is done with one that arrived. Whatever known does, an
+// attempt that did not run is answered so.
+func (t *Table) ask(ref Ref, known func(*entry, *Record) Settlement) Settlement {
 	if ref.Target != t.Own {
 		return Settlement{Outcome: outcome.Unknown}
 	}
@@ -119,13 +112,15 @@
 	}
 	r := e.records[ref.ID.Sequence]
 	if r == nil {
+		e.raise(ref.OpenFrom)
 		e.records[ref.ID.Sequence] = &Record{shard: s, state: NotRun}
 		return Settlement{Outcome: outcome.NotRun}
 	}
+	settlement := known(e, r)
 	if r.state == NotRun {
 		return Settlement{Outcome: outcome.NotRun}
 	}
-	return Settlement{Outcome: outcome.Run, Running: r.state != Finished}
+	return settlement
 }
 
 // Len returns the number of recorded attempts and tombstones.
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"pollenscale/core/outcome"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -90,11 +89,6 @@
 	return errors.CombineErrors(err, a.rest.Close())
 }
 
-// failure returns the error for an answer that was not obtained.
-func failure(o outcome.Outcome, reason outcome.Reason, detail string) *outcome.Error {
-	return outcome.New(o, reason, detail)
-}
-
 // hopHeader reports whether a header field concerns one connection only.
 func hopHeader(name string) bool {
 	switch name {
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -225,11 +225,11 @@
 }
 
 // errMute ends an idempotent attempt at a daemon that no longer answers.
-var errMute = failure(outcome.Unknown, outcome.ConnectionLost, "the target's daemon does not answer")
+var errMute = outcome.New(outcome.Unknown, outcome.ConnectionLost, "the target's daemon does not answer")
 
 // errSilent ends an attempt that the target's daemon has bindingly refused since
 // it never arrived.
-var errSilent = failure(outcome.NotRun, outcome.ConnectionLost, "the connection is silent; settled as not run")
+var errSilent = outcome.New(outcome.NotRun, outcome.ConnectionLost, "the connection is silent; settled as not run")
 
 // peerFailed says what a failed exchange with another daemon means.
 func (s *Sidecar) peerFailed(ctx context.Context, to *fleet.Target, err error) verdict {
@@ -241,9 +241,9 @@
 	}
 	if errors.Is(err, http1.ErrNotSent) {
 		s.setAside(to, err)
-		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "daemon unreachable")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.ConnectionLost, "daemon unreachable")}
 	}
-	return verdict{err: failure(outcome.Unknown, outcome.ConnectionLost, "connection to the target's daemon lost")}
+	return verdict{err: outcome.New(outcome.Unknown, outcome.ConnectionLost, "connection to the target's daemon lost")}
 }
 
 // setAside gives no more requests to a daemon that cannot be reached.
@@ -256,9 +256,9 @@
 // ended says what the end of ctx means for an attempt under way.
 func ended(ctx context.Context) *outcome.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure(outcome.Unknown, outcome.DeadlineExceed, "no answer by the deadline")
+		return outcome.New(outcome.Unknown, outcome.DeadlineExceed, "no answer by the deadline")
 	}
-	return failure(outcome.Unknown, outcome.Cancelled, "the client has gone")
+	return outcome.New(outcome.Unknown, outcome.Cancelled, "the client has gone")
 }
 
 // settle asks for a binding answer what became of an attempt whose connection
@@ -270,7 +270,7 @@
 	}
 	s.log.Warn("entry: attempt settled.", "request", q.ID, "target", to.Daemon, "outcome", o)
 	if o == outcome.NotRun {
-		return verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "settled as not run")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.ConnectionLost, "settled as not run")}
 	}
 	return v
 }
--- a/internal/sidecar/dispatch_test.go
+++ b/internal/sidecar/dispatch_test.go
@@ -58,9 +58,9 @@
 // after it may have run, and against attempts beyond those that the route allows.
 func TestMayRepeat(t *testing.T) {
 	s := New(Settings{Peers: "127.0.0.1:1"}, Protocol{})
-	unknown := verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "")}
-	daemon := verdict{err: failure(outcome.NotRun, outcome.Overloaded, "")}
-	target := verdict{err: failure(outcome.NotRun, outcome.Overloaded, ""), arrived: true}
+	unknown := verdict{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "")}
+	daemon := verdict{err: outcome.New(outcome.NotRun, outcome.Overloaded, "")}
+	target := verdict{err: outcome.New(outcome.NotRun, outcome.Overloaded, ""), arrived: true}
 	failed := &answer{status: http.StatusInternalServerError}
 	cases := []struct {
 		name    string
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -145,7 +145,7 @@
 	}
 	settled := settle(ref)
 	s.log.Info("target: attempt settled.", "entry", ref.ID.Daemon, "sequence", ref.ID.Sequence, "outcome", settled.Outcome, "running", settled.Running)
-	writeVerdict(w.Header(), verdict{err: failure(settled.Outcome, outcome.StaleAttempt, "settled")}, s.now())
+	writeVerdict(w.Header(), verdict{err: outcome.New(settled.Outcome, outcome.StaleAttempt, "settled")}, s.now())
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -166,7 +166,7 @@
 	}
 	if err := s.receive(ctx, w); err != nil {
 		ticket.Return()
-		return nil, verdict{err: failure(outcome.NotRun, outcome.ConnectionLost, "body not received: "+err.Error())}
+		return nil, verdict{err: outcome.New(outcome.NotRun, outcome.ConnectionLost, "body not received: "+err.Error())}
 	}
 	// The target may have changed in the meantime.
 	view = s.local.View()
@@ -254,11 +254,11 @@
 func (s *Sidecar) turnAway(view localtarget.View, w *work) verdict {
 	switch {
 	case view.ID == "":
-		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "no target has announced itself")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.NoTarget, "no target has announced itself")}
 	case view.Service != w.terms.service:
-		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "the target runs another service")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.NoTarget, "the target runs another service")}
 	case !view.State.TakesWork():
-		return verdict{err: failure(outcome.NotRun, outcome.Draining, "the target is draining")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.Draining, "the target is draining")}
 	}
 	return verdict{}
 }
@@ -295,14 +295,14 @@
 		if err != nil {
 			s.log.Debug("target: refusal not read whole.", "error", err)
 		}
-		e := failure(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status))
+		e := outcome.New(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status))
 		return nil, verdict{err: e, arrived: true}
 	}
 	if err != nil {
 		return nil, s.targetFailed(ctx, err)
 	}
 	if r.Status < http.StatusMultipleChoices && !said.Genuine {
-		return nil, verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
+		return nil, verdict{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
 	}
 	a.work = s.now().Sub(now)
 	return a, verdict{}
@@ -310,10 +310,10 @@
 
 func (s *Sidecar) targetFailed(ctx context.Context, err error) verdict {
 	if errors.Is(err, http1.ErrNotSent) {
-		return verdict{err: failure(outcome.NotRun, outcome.NoTarget, "the target does not accept connections")}
+		return verdict{err: outcome.New(outcome.NotRun, outcome.NoTarget, "the target does not accept connections")}
 	}
 	if ctx.Err() != nil {
 		return verdict{err: ended(ctx)}
 	}
-	return verdict{err: failure(outcome.Unknown, outcome.TargetFailed, "connection to the target lost: "+err.Error())}
+	return verdict{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "connection to the target lost: "+err.Error())}
 }
