io/http1, core/roster, core/retry, internal/sidecar: remove what nothing uses

Cause: reading the whole change showed options of the pool, a counter of the budget, a time in the roster, a field of answers and the end of the grace time that no code reads.

Behaviour and checks are as before.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -52,6 +52,4 @@
 	NotExecuted bool
 	// Load is nil when the target reports none.
 	Load *Load
-	// IdleTimeout bounds how long the connection may be reused; zero if unknown.
-	IdleTimeout time.Duration
 }
--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -71,14 +71,6 @@
 	return true
 }
 
-// Spend counts a repeated arrival that happened without being asked for.
-func (s *Shared) Spend() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn()
-	s.repeats[s.at]++
-}
-
 // turn moves to the slice of the present.
 func (s *Shared) turn() {
 	now := s.Now()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -47,7 +47,6 @@
 type member struct {
 	record     Record
 	asideUntil time.Time
-	heardAt    time.Time
 }
 
 // Roster is the set of known records. Use New.
@@ -98,7 +97,6 @@
 	m := r.members[id]
 	back := m != nil && m.asideUntil.After(now)
 	if m != nil {
-		m.heardAt = now
 		m.asideUntil = time.Time{}
 	}
 	r.mu.Unlock()
@@ -139,14 +137,6 @@
 	return back
 }
 
-// Remove forgets a daemon whose record was deleted.
-func (r *Roster) Remove(id fleet.DaemonID) {
-	r.mu.Lock()
-	delete(r.members, id)
-	r.mu.Unlock()
-	r.OnChange()
-}
-
 // Records returns all records, by daemon.
 func (r *Roster) Records() []Record {
 	r.mu.Lock()
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -159,7 +159,6 @@
 	begun := s.now()
 	grace := s.settings.Load().Grace
 	end := begun.Add(grace - stopMargin)
-	s.stopAt.Store(end.UnixNano())
 	s.stopping.Store(true)
 	s.changed()
 	for s.now().Before(end) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,7 +75,6 @@
 	startedAt time.Time
 	joined    atomic.Bool // the records of the others were read
 	stopping  atomic.Bool
-	stopAt    atomic.Int64 // end of the grace time, nanoseconds since 1970
 	active    atomic.Int64 // requests under way at the entry
 	served    atomic.Int64 // attempts under way at the target
 	meters    meters
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -16,6 +16,8 @@
 	// dialTimeout bounds the opening of a connection. Within a site it takes
 	// 20 ms; a lost opening packet is sent again after a second.
 	dialTimeout = 400 * time.Millisecond
+	// maxKept bounds the idle connections to one address.
+	maxKept = 32
 	// maxIdle is how long an idle connection is kept when the peer says nothing.
 	maxIdle = 8 * time.Second
 	// freshIdle is the longest idle time of a connection for a request that
@@ -35,30 +37,15 @@
 	OnDial func()
 
 	address string
-	own     string
-	maxKept int
 
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// Option changes a pool under construction.
-type Option func(*Pool)
-
-// WithMaxKept bounds the idle connections.
-func WithMaxKept(n int) Option { return func(p *Pool) { p.maxKept = n } }
-
-// WithSource sets the local IP address of the connections.
-func WithSource(ip string) Option { return func(p *Pool) { p.own = ip } }
-
 // New returns a pool for an address.
-func New(address string, options ...Option) *Pool {
-	p := &Pool{address: address, maxKept: 32, OnError: func(error) {}, OnDial: func() {}}
-	for _, o := range options {
-		o(p)
-	}
-	return p
+func New(address string) *Pool {
+	return &Pool{address: address, OnError: func(error) {}, OnDial: func() {}}
 }
 
 // Address returns the address of the peer.
@@ -136,7 +123,7 @@
 	c.idleUntil = now.Add(idle - min(idleMargin, idle/4))
 	c.idleSince = now
 	p.mu.Lock()
-	full := p.closed || len(p.idle) >= p.maxKept
+	full := p.closed || len(p.idle) >= maxKept
 	if !full {
 		p.idle = append(p.idle, c)
 	}
