core/choice: the wait that an attempt accepts doubles with each refusal

All targets had work for longer than the first attempt accepts, so that each refusal led to the next.

Ruled out: queues too long for the deadline; the same look-ups were served where they queued first.

Change: the accepted wait is 1.5 mean times between two free slots at the first attempt, and twice as long after each refusal.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -30,9 +30,10 @@
 	// in service times. Without it all entries with the same stale reports pick
 	// the same targets for reasons that are noise.
 	margin = 0.5
-	// patience is the wait that an attempt accepts at a target instead of a
+	// patience is the wait that the first attempt accepts at a target instead of a
 	// redirect, in mean times between two free slots. With 1 it would depend on
-	// rounding whether the first in the queue is accepted.
+	// rounding whether the first in the queue is accepted. It doubles with each
+	// refusal: the more targets are busy, the less another one helps.
 	patience = 1.5
 	// DefaultTries is the number of attempts that must find a free slot before
 	// an attempt queues.
@@ -250,7 +251,8 @@
 func (c *Chooser) pick(g *group, r Request, now time.Time) (*node, time.Time) {
 	if len(r.Tried) < c.tries && !r.Final {
 		if n := c.sample(g, r, now); n != nil {
-			return n, now.Add(c.delay(n.tier) + n.part(patience/float64(n.slots.Load())))
+			accepted := patience * float64(int(1)<<len(r.Tried)) / float64(n.slots.Load())
+			return n, now.Add(c.delay(n.tier) + n.part(accepted))
 		}
 	}
 	return c.shortest(g, r, now), time.Time{}
