io/announce, core/roster: relay changes between regions, ask for signs of life

Each change of a record went to all daemons, each answered with its own record, and a new record with another one: about 1,200 bytes for each pair, twice at the start.

Change: a change goes to the daemons of the own region and to two relays of each other region, which pass it on; a relay that does not acknowledge is replaced once. An acknowledgement names the daemon and carries no record; only a daemon that is new to the receiver is sent its record. A daemon that was set aside gets requests again after a sign of life, for which it is probed with datagrams of 50 bytes. Greetings within a zone go to eight daemons at a time.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,14 +39,21 @@
 	return r.Sequence > o.Sequence
 }
 
-// trialDelay is how long an unreachable daemon gets no requests before it is
-// tried again. Its datagrams end the delay at once.
-const trialDelay = 1500 * time.Millisecond
+const (
+	// firstProbe is the time after which an unreachable daemon is asked for a sign
+	// of life; it doubles up to maxProbe.
+	firstProbe = 500 * time.Millisecond
+	maxProbe   = 2 * time.Second
+)
 
 // member is a record with what this daemon knows of it.
 type member struct {
-	record     Record
-	asideUntil time.Time
+	record Record
+	// aside daemons get no requests until they give a sign of life. A request as
+	// a trial would be lost where the daemon is still cut off.
+	aside   bool
+	probeAt time.Time
+	probing time.Duration // until the probe after that
 }
 
 // Roster is the set of known records. Use New.
@@ -81,7 +88,7 @@
 			r.members[rec.Daemon] = m
 		}
 		m.record = rec
-		m.asideUntil = time.Time{}
+		m.aside = false
 	}
 	r.mu.Unlock()
 	if fresh {
@@ -90,14 +97,21 @@
 	return fresh
 }
 
-// Heard records a sign of life of a daemon's current incarnation.
+// Knows reports whether a process of a daemon is known.
+func (r *Roster) Knows(id fleet.DaemonID, i fleet.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	return m != nil && m.record.Incarnation == i
+}
+
+// Heard records a sign of life of a daemon.
 func (r *Roster) Heard(id fleet.DaemonID) {
-	now := r.Now()
 	r.mu.Lock()
 	m := r.members[id]
-	back := m != nil && m.asideUntil.After(now)
-	if m != nil {
-		m.asideUntil = time.Time{}
+	back := m != nil && m.aside
+	if back {
+		m.aside = false
 	}
 	r.mu.Unlock()
 	if back {
@@ -105,14 +119,15 @@
 	}
 }
 
-// Unreachable sets a daemon aside for a while and reports whether it was in use.
+// Unreachable sets a daemon aside until it is heard of, and reports whether it
+// was in use.
 func (r *Roster) Unreachable(id fleet.DaemonID) bool {
 	now := r.Now()
 	r.mu.Lock()
 	m := r.members[id]
-	used := m != nil && id != r.own && !m.asideUntil.After(now)
+	used := m != nil && id != r.own && !m.aside
 	if used {
-		m.asideUntil = now.Add(trialDelay)
+		m.aside, m.probeAt, m.probing = true, now.Add(firstProbe), 2*firstProbe
 	}
 	r.mu.Unlock()
 	if used {
@@ -121,20 +136,21 @@
 	return used
 }
 
-// Returning reports whether the delay of a daemon that was set aside has ended
-// since the last call.
-func (r *Roster) Returning() bool {
+// Probes returns the announce addresses of the daemons that are due to be asked
+// for a sign of life.
+func (r *Roster) Probes() []string {
 	now := r.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	back := false
+	var due []string
 	for _, m := range r.members {
-		if !m.asideUntil.IsZero() && !m.asideUntil.After(now) {
-			m.asideUntil = time.Time{}
-			back = true
+		if !m.aside || m.probeAt.After(now) || m.record.AnnounceAddress == "" {
+			continue
 		}
+		due = append(due, m.record.AnnounceAddress)
+		m.probeAt, m.probing = now.Add(m.probing), min(2*m.probing, maxProbe)
 	}
-	return back
+	return due
 }
 
 // Records returns all records, by daemon.
@@ -151,13 +167,12 @@
 
 // Targets returns the targets that may be sent requests.
 func (r *Roster) Targets() []fleet.Target {
-	now := r.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]fleet.Target, 0, len(r.members))
 	for _, m := range r.members {
 		rec := &m.record
-		if rec.Target == "" || m.asideUntil.After(now) {
+		if rec.Target == "" || m.aside {
 			continue
 		}
 		out = append(out, fleet.Target{
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,67 @@
+package roster_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pollenscale/core/fleet"
+	"pollenscale/core/roster"
+
+	"github.com/matryer/is"
+)
+
+// fleetOf returns the roster of daemon "d0" with n daemons in three regions of
+// two zones each.
+func fleetOf(n int) *roster.Roster {
+	r := roster.New("d0")
+	for i := range n {
+		region := fleet.Region(fmt.Sprint("region-", i%3))
+		r.Offer(roster.Record{
+			Daemon: fleet.DaemonID(fmt.Sprint("d", i)), Incarnation: 1, PeerAddress: fmt.Sprint("peer-", i),
+			AnnounceAddress: fmt.Sprint("announce-", i), Target: "t", Service: "agenda", State: fleet.Serving,
+			Place: fleet.Place{Region: region, AvailabilityZone: fleet.AvailabilityZone(fmt.Sprint(region, "-", i/3%2))},
+		})
+	}
+	return r
+}
+
+// TestAudience guards against announcements whose cost between regions grows with
+// the fleet, and against daemons of the own region that are not told.
+func TestAudience(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{24, 90, 300} {
+		a := fleetOf(n).Audience("region-0")
+		is.Equal(len(a.Direct), n/3-1)
+		is.Equal(len(a.Relays), 4)
+	}
+	r := fleetOf(6)
+	relay := r.Audience("region-0").Relays[0]
+	other := r.Substitute(relay)
+	is.True(other != relay && other != "")
+}
+
+// TestAside guards against requests that are sent to a daemon that cannot be
+// reached, as a trial, and against a daemon that stays aside although it is back.
+func TestAside(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	r := fleetOf(6)
+	r.Now = func() time.Time { return now }
+	used := func() bool {
+		return slices.ContainsFunc(r.Targets(), func(t fleet.Target) bool { return t.Daemon == "d3" })
+	}
+	is.True(r.Unreachable("d3"))
+	is.True(!r.Unreachable("d3"))
+	probes := 0
+	for range 120 {
+		now = now.Add(100 * time.Millisecond)
+		probes += len(r.Probes())
+		is.True(!used())
+	}
+	is.True(probes >= 6 && probes <= 10) // within 12 s
+	r.Heard("d3")
+	is.True(used())
+	is.Equal(len(r.Probes()), 0)
+}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -30,11 +30,12 @@
 	// maxStoreRetry, so that the store is found again within 1.5 s of its return.
 	storeRetry    = 300 * time.Millisecond
 	maxStoreRetry = time.Second
-	// greetInterval is how often the own record is sent to the daemons of the own
-	// zone and to a few others, which finds daemons that restarted.
+	// greetInterval is how often the own record is sent to a few daemons of the own
+	// zone and elsewhere, which finds daemons that restarted.
 	greetInterval = time.Second
-	// greeted is the number of daemons elsewhere that are greeted each time.
-	greeted = 2
+	// greetedNear and greetedFar are the numbers of daemons greeted each time.
+	greetedNear = 8
+	greetedFar  = 2
 	// snapshotTimeout bounds the reading of another daemon's knowledge.
 	snapshotTimeout = time.Second
 )
@@ -71,8 +72,19 @@
 // announceOwn tells the other daemons the own record.
 func (s *Sidecar) announceOwn() {
 	s.roster.Offer(s.ownRecord())
-	if s.node != nil {
-		s.node.Announce(s.others())
+	if s.node == nil {
+		return
+	}
+	audience := s.roster.Audience(s.settings.Load().Place.Region)
+	s.node.Announce(announce.News, audience.Direct)
+	s.node.Announce(announce.Relay, audience.Relays)
+}
+
+// relayLost announces the own record to another daemon of the region of a relay
+// that did not acknowledge it.
+func (s *Sidecar) relayLost(relay string) {
+	if other := s.roster.Substitute(relay); other != "" {
+		s.node.Substitute(other)
 	}
 }
 
@@ -94,26 +106,25 @@
 	return announce.Message{From: s.ownRecord(), Version: s.holder.Version()}
 }
 
-// others returns the announce addresses of the other daemons.
-func (s *Sidecar) others() []string {
-	var out []string
-	for _, r := range s.roster.Records() {
-		if r.Daemon != s.id && r.AnnounceAddress != "" {
-			out = append(out, r.AnnounceAddress)
-		}
-	}
-	return out
-}
-
-// received takes over what another daemon says of itself.
+// received takes over what a datagram says of a daemon.
 func (s *Sidecar) received(m announce.Message) {
 	if m.From.Daemon == s.id {
 		return
 	}
 	alone := s.roster.Len() <= 1
-	if s.roster.Offer(m.From) {
+	joined := !s.roster.Knows(m.From.Daemon, m.From.Incarnation)
+	fresh := s.roster.Offer(m.From)
+	if fresh {
 		s.logMember(m.From, "datagram")
-		s.node.Send(m.From.AnnounceAddress)
+	}
+	if fresh && m.Purpose == announce.Relay {
+		s.node.PassOn(m.From, s.roster.Audience(s.settings.Load().Place.Region).Direct)
+	}
+	if m.Purpose == announce.Relayed {
+		return
+	}
+	if fresh && joined {
+		s.node.Greet(m.From.AnnounceAddress)
 	}
 	s.roster.Heard(m.From.Daemon)
 	if alone || m.Version > s.holder.Version() {
@@ -232,22 +243,17 @@
 	return nil
 }
 
-// greet sends the own record to the daemons of the own zone and, by turns, to a
+// greet sends the own record, by turns, to some daemons of the own zone and to a
 // few of the others.
 func (s *Sidecar) greet(round int) {
-	zone := s.settings.Load().Place.AvailabilityZone
-	var far []string
-	for _, r := range s.roster.Records() {
-		switch {
-		case r.Daemon == s.id || r.AnnounceAddress == "":
-		case r.Place.AvailabilityZone == zone:
-			s.node.Send(r.AnnounceAddress)
-		default:
-			far = append(far, r.AnnounceAddress)
-		}
-	}
-	for i := range min(greeted, len(far)) {
-		s.node.Send(far[(round*greeted+i)%len(far)])
+	place := s.settings.Load().Place
+	s.greetSome(s.roster.Neighbours(place), round, greetedNear)
+	s.greetSome(s.roster.Distant(place), round, greetedFar)
+}
+
+func (s *Sidecar) greetSome(addresses []string, round, n int) {
+	for i := range min(n, len(addresses)) {
+		s.node.Greet(addresses[(round*n+i)%len(addresses)])
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -140,6 +140,8 @@
 	s.node = node
 	node.Own = s.ownMessage
 	node.Received = s.received
+	node.Alive = s.roster.Heard
+	node.Lost = s.relayLost
 	node.OnError = func(err error) { s.log.Debug("announce: failed.", "error", err) }
 
 	var group run.Group
@@ -198,8 +200,8 @@
 }
 
 func (s *Sidecar) sweep() {
-	if s.roster.Returning() {
-		s.refreshTargets()
+	for _, address := range s.roster.Probes() {
+		s.node.Probe(address)
 	}
 	s.mu.Lock()
 	pools := make([]*http1.Pool, 0, len(s.peers)+1)
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"pollenscale/core/fleet"
 	"pollenscale/core/roster"
 	"pollenscale/core/route"
 	"pollenscale/core/wait"
@@ -27,33 +28,78 @@
 	sends = 4
 )
 
+// Purpose is what a datagram is for.
+type Purpose string
+
+// The purposes.
+const (
+	// Greeting says that the sender is alive.
+	Greeting Purpose = ""
+	// News asks for an acknowledgement of a changed record.
+	News Purpose = "News"
+	// Relay asks for an acknowledgement, and to pass the record on to the daemons
+	// of the receiver's region.
+	Relay Purpose = "Relay"
+	// Relayed is a record that another daemon passes on.
+	Relayed Purpose = "Relayed"
+	// Probe asks for an acknowledgement as a sign of life. It carries no record.
+	Probe Purpose = "Probe"
+	// Ack acknowledges. It carries no record.
+	Ack Purpose = "Ack"
+)
+
 // Message is a datagram.
 type Message struct {
-	From    roster.Record
-	Version route.Version
-	// Ask is set when the sender wants an acknowledgement.
-	Ask bool `json:",omitempty"`
+	Purpose Purpose `json:",omitempty"`
+	// From is the record of the sender, or of the daemon whose record is relayed.
+	From roster.Record `json:",omitzero"`
+	// Version is the configuration in force at the sender.
+	Version route.Version `json:",omitempty"`
+	// About names the daemon whose record is acknowledged, By the sender of a
+	// datagram without a record.
+	About fleet.DaemonID `json:",omitempty"`
+	By    fleet.DaemonID `json:",omitempty"`
 }
 
+// asks reports whether the sender of a record wants an acknowledgement.
+func (p Purpose) asks() bool { return p == News || p == Relay || p == Relayed }
+
+// carries reports whether a datagram carries a record.
+func (p Purpose) carries() bool { return p != Ack && p != Probe }
+
 // Node sends and receives datagrams on one socket. Use Listen.
 type Node struct {
 	// Own returns the message that describes this daemon.
 	Own func() Message
-	// Received is called for each valid datagram.
+	// Received is called for each datagram with a record.
 	Received func(Message)
+	// Alive is called when a datagram without a record shows that a daemon can be
+	// reached.
+	Alive func(fleet.DaemonID)
+	// Lost is called with the address of a relay that did not acknowledge.
+	Lost func(relay string)
 	// OnError receives errors of the socket and datagrams that cannot be read.
 	OnError func(error)
 
 	conn *net.UDPConn
 
 	mu      sync.Mutex
-	pending map[string]pending // by address of the receiver
+	pending map[receipt]pending
+}
+
+// receipt identifies an acknowledgement: who gives it, and whose record it is for.
+type receipt struct {
+	address string
+	about   fleet.DaemonID
 }
 
-// pending is an announcement without acknowledgement.
+// pending is a datagram without acknowledgement.
 type pending struct {
-	left   int
-	nextAt time.Time
+	purpose Purpose
+	record  roster.Record // of another daemon, for Relayed
+	last    bool          // its loss is not reported
+	left    int
+	nextAt  time.Time
 }
 
 // Listen binds the socket.
@@ -66,61 +112,108 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "announce socket")
 	}
-	return &Node{conn: conn, pending: make(map[string]pending), OnError: func(error) {}}, nil
+	return &Node{
+		conn: conn, pending: make(map[receipt]pending), OnError: func(error) {},
+		Alive: func(fleet.DaemonID) {}, Lost: func(string) {},
+	}, nil
 }
 
-// Send sends this daemon's message once, without acknowledgement.
-func (n *Node) Send(address string) { n.send(address, false) }
+// Address returns the address of the socket.
+func (n *Node) Address() string { return n.conn.LocalAddr().String() }
+
+// Greet sends this daemon's message once, without acknowledgement.
+func (n *Node) Greet(address string) { n.write(address, n.own(Greeting)) }
+
+// Probe asks the daemon at an address once for a sign of life.
+func (n *Node) Probe(address string) {
+	n.write(address, Message{Purpose: Probe, By: n.Own().From.Daemon})
+}
 
 // Announce sends this daemon's message to the addresses until each has
 // acknowledged it or a few datagrams were sent.
-func (n *Node) Announce(addresses []string) {
-	now := time.Now()
-	n.mu.Lock()
+func (n *Node) Announce(p Purpose, addresses []string) {
+	about := n.Own().From.Daemon
 	for _, a := range addresses {
-		n.pending[a] = pending{left: sends - 1, nextAt: now.Add(resendAfter)}
+		n.begin(receipt{address: a, about: about}, pending{purpose: p})
 	}
-	n.mu.Unlock()
+}
+
+// Substitute sends this daemon's message to a relay in the place of one that was
+// lost. The loss of a substitute is not reported.
+func (n *Node) Substitute(relay string) {
+	n.begin(receipt{address: relay, about: n.Own().From.Daemon}, pending{purpose: Relay, last: true})
+}
+
+// PassOn sends the record of another daemon to the addresses like Announce.
+func (n *Node) PassOn(record roster.Record, addresses []string) {
 	for _, a := range addresses {
-		n.send(a, true)
+		n.begin(receipt{address: a, about: record.Daemon}, pending{purpose: Relayed, record: record})
 	}
 }
 
-// Resend repeats announcements that were not acknowledged, until ctx ends.
+func (n *Node) begin(to receipt, p pending) {
+	p.left, p.nextAt = sends-1, time.Now().Add(resendAfter)
+	n.mu.Lock()
+	n.pending[to] = p
+	n.mu.Unlock()
+	n.write(to.address, n.message(p))
+}
+
+// Resend repeats datagrams that were not acknowledged, until ctx ends.
 func (n *Node) Resend(ctx context.Context) error {
 	return wait.Every(ctx, resendAfter, n.resend)
 }
 
 func (n *Node) resend() {
 	now := time.Now()
-	var due []string
+	due := map[receipt]pending{}
+	var lost []string
 	n.mu.Lock()
-	for a, p := range n.pending {
+	for to, p := range n.pending {
 		if p.nextAt.After(now) {
 			continue
 		}
 		if p.left--; p.left < 0 {
-			delete(n.pending, a)
+			delete(n.pending, to)
+			if p.purpose == Relay && !p.last {
+				lost = append(lost, to.address)
+			}
 			continue
 		}
 		p.nextAt = now.Add(resendAfter)
-		n.pending[a] = p
-		due = append(due, a)
+		n.pending[to] = p
+		due[to] = p
 	}
 	n.mu.Unlock()
-	for _, a := range due {
-		n.send(a, true)
+	for to, p := range due {
+		n.write(to.address, n.message(p))
 	}
+	for _, relay := range lost {
+		n.Lost(relay)
+	}
+}
+
+// message returns the datagram of the moment: the own record may have changed
+// since it was first sent.
+func (n *Node) message(p pending) Message {
+	if p.purpose == Relayed {
+		return Message{Purpose: Relayed, From: p.record}
+	}
+	return n.own(p.purpose)
+}
+
+func (n *Node) own(p Purpose) Message {
+	m := n.Own()
+	m.Purpose = p
+	return m
 }
 
-func (n *Node) send(address string, ask bool) {
+func (n *Node) write(address string, m Message) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		n.OnError(errors.Wrapf(err, "announce address %q", address))
 		return
 	}
-	m := n.Own()
-	m.Ask = ask
 	data, err := json.Marshal(m)
 	if err != nil {
 		n.OnError(err)
@@ -144,24 +237,30 @@
 			continue
 		}
 		var m Message
-		if err := json.Unmarshal(buffer[:size], &m); err != nil || m.From.Daemon == "" {
+		if err := json.Unmarshal(buffer[:size], &m); err != nil || m.Purpose.carries() && m.From.Daemon == "" {
 			n.OnError(errors.Newf("datagram of %d bytes from %s cannot be read", size, from))
 			continue
 		}
-		n.acknowledge(m, from)
-		n.Received(m)
+		n.handle(m, from)
 	}
 }
 
-// acknowledge ends the announcement to the sender and answers its own.
-func (n *Node) acknowledge(m Message, from netip.AddrPort) {
-	if m.Ask {
-		n.send(from.String(), false)
+func (n *Node) handle(m Message, from netip.AddrPort) {
+	if m.Purpose.asks() || m.Purpose == Probe {
+		n.write(from.String(), Message{Purpose: Ack, About: m.From.Daemon, By: n.Own().From.Daemon})
+	}
+	if m.Purpose.carries() {
+		n.Received(m)
 		return
 	}
-	n.mu.Lock()
-	delete(n.pending, from.String())
-	n.mu.Unlock()
+	if m.Purpose == Ack {
+		n.mu.Lock()
+		delete(n.pending, receipt{address: from.String(), about: m.About})
+		n.mu.Unlock()
+	}
+	if m.By != "" {
+		n.Alive(m.By)
+	}
 }
 
 // Close closes the socket.
