core/admit: an overloaded rank refuses what would miss its objective

Cause: at a target that is offered one and a half times its capacity the queue grows until requests have just time to meet their deadline, so that all of them miss their objective: of 583 uploads that fit into 20 s all were served, 132 to 187 of them in time.

Ruled out: an order by objective instead of deadline, which would let requests wait that can't be served and refuse them late.

Change: when requests of a rank have started too late for their objective for 300 ms, and none with half of its time to spare, those that would wait for more than 0.85 of their time are refused at once. Requests beside a cold target do not count. The terms of an attempt carry the objective.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -45,6 +45,12 @@
 	// may spend in the queue, where the expected time of its own kind is known.
 	workMargin     = 1.5
 	knownQueuePart = 0.75
+	// lateTolerance is how long requests may start too late for their objective
+	// before those that would wait as long are refused.
+	lateTolerance = 300 * time.Millisecond
+	// overloadedPart is the part of the time to its objective that a request may
+	// wait in an overloaded rank; expected waits are off by a tenth or so.
+	overloadedPart = 0.85
 	// pauseWeight is the weight of one pause in their smoothed length.
 	pauseWeight = 1.0 / 8
 	// minPause is the least expected length of a pause in seconds.
@@ -62,6 +68,9 @@
 	// StartBy is the time by which the request must have a slot or be refused,
 	// so that its entry can try another target; zero means the deadline alone.
 	StartBy time.Time
+	// InTime is when the answer loses most of its worth, zero if that is the
+	// deadline.
+	InTime time.Time
 	// Work is how long the request is expected to hold its slot; zero means the
 	// usual time of its rank.
 	Work time.Duration
@@ -216,6 +225,10 @@
 		q.refuse(t, outcome.CannotFinish, "the queue is too long for the deadline", now)
 		return
 	}
+	if t.rank.overloaded(now) && t.missesObjective(begin) {
+		q.refuse(t, outcome.CannotFinish, "the queue is too long for the objective", now)
+		return
+	}
 	t.state = queued
 	t.rank.push(t, weight)
 	q.queued++
@@ -336,6 +349,9 @@
 	invariant.Check(t.state == submitted || t.state == queued, "admit_once", "start of a ticket that is %s", t.state)
 	t.state = granted
 	t.started = now
+	if !t.request.Untypical {
+		t.rank.observeStart(now.Sub(t.arrived), t.slack(), now)
+	}
 	q.running++
 	t.level = q.running
 	t.charged = t.rank.mean
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"pollenscale/core/fleet"
 )
@@ -20,9 +21,12 @@
 	mean   float64 // smoothed service time in seconds
 	spread float64 // mean deviation of the service time in seconds
 	queued int
-	time   float64 // virtual time: the tag of the flow served last
-	flows  map[fleet.Organisation]*flow
-	active []*flow
+	// lateSince is when requests began to start too late for their objective,
+	// zero since one started with time to spare.
+	lateSince time.Time
+	time      float64 // virtual time: the tag of the flow served last
+	flows     map[fleet.Organisation]*flow
+	active    []*flow
 }
 
 // flow is the queue of one organisation within a rank. Its tag is the virtual
@@ -149,3 +153,22 @@
 		k.active = slices.DeleteFunc(k.active, func(g *flow) bool { return g == f })
 	}
 }
+
+// observeStart records how long a request has waited of the time that it had to
+// meet its objective.
+func (k *rank) observeStart(waited, slack time.Duration, now time.Time) {
+	switch {
+	case slack == 0:
+	case waited < slack/2:
+		k.lateSince = time.Time{}
+	case waited > slack && k.lateSince.IsZero():
+		k.lateSince = now
+	}
+}
+
+// overloaded reports whether requests have started too late for their objective
+// for a while and none with time to spare. A shorter queue then serves as many
+// requests, and serves them in time.
+func (k *rank) overloaded(now time.Time) bool {
+	return !k.lateSince.IsZero() && now.Sub(k.lateSince) > lateTolerance
+}
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -58,6 +58,22 @@
 	return !begin.Add(need).After(deadline)
 }
 
+// slack is how long the request can wait and still meet its objective, 0 if it
+// has none or had missed it when it came.
+func (t *Ticket) slack() time.Duration {
+	if t.request.InTime.IsZero() {
+		return 0
+	}
+	return max(0, t.request.InTime.Sub(t.arrived)-t.work())
+}
+
+// missesObjective reports whether the request is likely to miss the objective that
+// it could still meet, if it starts at begin.
+func (t *Ticket) missesObjective(begin time.Time) bool {
+	slack := t.slack()
+	return slack > 0 && begin.Sub(t.arrived) > time.Duration(overloadedPart*float64(slack))
+}
+
 // Cancel withdraws a queued request, whose decide function is then not called.
 // It reports whether the request was still queued: true means that it did not
 // run and never will.
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -129,14 +129,23 @@
 	return r == outcome.NoTarget || r == outcome.Draining || r == outcome.ConnectionLost
 }
 
+// objective is when the answer loses most of its worth, zero if that is the
+// deadline.
+func (q *request) objective() time.Time {
+	at := q.arrivedAt.Add(q.route.Objective)
+	if q.route.Objective <= 0 || at.After(q.deadline) {
+		return time.Time{}
+	}
+	return at
+}
+
 // inTime is when the answer should be there: within the objective of the route,
 // or by the deadline when that has passed.
 func (q *request) inTime(now time.Time) time.Time {
-	at := q.arrivedAt.Add(q.route.Objective)
-	if q.route.Objective <= 0 || at.After(q.deadline) || !at.After(now) {
-		return q.deadline
+	if at := q.objective(); at.After(now) {
+		return at
 	}
-	return at
+	return q.deadline
 }
 
 // bulk reports whether the body is long enough to make distance expensive.
@@ -146,7 +155,7 @@
 func (s *Sidecar) attempt(ctx context.Context, q *request, c choice.Choice, work time.Duration) (*answer, verdict) {
 	t := terms{
 		service: q.service, priority: q.route.Priority, caller: s.settings.Load().Service,
-		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(), work: work,
+		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(), work: work, inTime: q.objective(),
 	}
 	if c.Target.Daemon == s.id {
 		a, v := s.runHere(ctx, q, t)
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -21,7 +21,8 @@
 	hopAttempt = "Pollenscale-Attempt"
 	// hopTerms are the terms of an attempt: service, priority, caller's service,
 	// microseconds to the deadline and to the latest start (-1: none), whether the
-	// request is idempotent, and its expected work in microseconds.
+	// request is idempotent, its expected work in microseconds, and microseconds to
+	// its objective (-1: none).
 	hopTerms = "Pollenscale-Terms"
 	// hopVersion is the configuration version of the sender, with the address
 	// from which a newer configuration can be read.
@@ -54,6 +55,8 @@
 	idempotent bool
 	// work is how long the target is expected to take, 0 if that is not known.
 	work time.Duration
+	// inTime is when the answer loses most of its worth, zero if that is the deadline.
+	inTime time.Time
 }
 
 func writeAttempt(h http.Header, ref attempt.Ref) {
@@ -83,38 +86,47 @@
 }
 
 func writeTerms(h http.Header, t terms, now time.Time) {
-	start := int64(-1)
-	if !t.startBy.IsZero() {
-		start = max(0, t.startBy.Sub(now).Microseconds())
-	}
 	h[hopTerms] = []string{strings.Join([]string{
 		string(t.service), strconv.Itoa(t.priority), string(t.caller),
-		strconv.FormatInt(t.deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(start, 10),
-		strconv.FormatBool(t.idempotent), strconv.FormatInt(t.work.Microseconds(), 10),
+		strconv.FormatInt(t.deadline.Sub(now).Microseconds(), 10), writeTime(t.startBy, now),
+		strconv.FormatBool(t.idempotent), strconv.FormatInt(t.work.Microseconds(), 10), writeTime(t.inTime, now),
 	}, " ")}
 }
 
+// writeTime formats a time as microseconds from now, -1 for the zero time.
+func writeTime(at, now time.Time) string {
+	if at.IsZero() {
+		return "-1"
+	}
+	return strconv.FormatInt(max(0, at.Sub(now).Microseconds()), 10)
+}
+
+func readTime(text string, now time.Time) (time.Time, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return time.Time{}, err
+	}
+	return now.Add(time.Duration(n) * time.Microsecond), nil
+}
+
 func readTerms(h http.Header, now time.Time) (terms, bool) {
 	f := strings.Split(h.Get(hopTerms), " ")
-	if len(f) != 7 {
+	if len(f) != 8 {
 		return terms{}, false
 	}
 	priority, err1 := strconv.Atoi(f[1])
 	left, err2 := strconv.ParseInt(f[3], 10, 64)
-	start, err3 := strconv.ParseInt(f[4], 10, 64)
+	startBy, err3 := readTime(f[4], now)
 	work, err4 := strconv.ParseInt(f[6], 10, 64)
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+	inTime, err5 := readTime(f[7], now)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
 		return terms{}, false
 	}
-	t := terms{
+	return terms{
 		service: fleet.Service(f[0]), priority: priority, caller: fleet.Service(f[2]),
-		deadline: now.Add(time.Duration(left) * time.Microsecond), idempotent: f[5] == "true",
-		work: time.Duration(work) * time.Microsecond,
-	}
-	if start >= 0 {
-		t.startBy = now.Add(time.Duration(start) * time.Microsecond)
-	}
-	return t, true
+		deadline: now.Add(time.Duration(left) * time.Microsecond), startBy: startBy, idempotent: f[5] == "true",
+		work: time.Duration(work) * time.Microsecond, inTime: inTime,
+	}, true
 }
 
 // verdict is an outcome as it travels between daemons.
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -207,7 +207,7 @@
 	for {
 		ticket, err := s.queue.Enter(ctx, admit.Request{
 			Rank: rankOf(w.terms.priority), Deadline: w.terms.deadline, StartBy: w.terms.startBy,
-			Work: w.terms.work, Untypical: s.untypical(),
+			InTime: w.terms.inTime, Work: w.terms.work, Untypical: s.untypical(),
 		})
 		if err != nil {
 			return nil, verdict{err: asOutcome(err)}
