core/roster, internal/sidecar: two daemons of each zone watch the store

Each change of the configuration ends the long poll of every daemon.

Change: the first two daemons of an availability zone, by id, wait for changes at the store. They say so in their greetings; another daemon steps in when two before it have not been heard to watch for 2.5 s. A new version goes at once, as a datagram of 60 bytes, to eight daemons of the own zone and four elsewhere, each of which reads it from the sender and tells as many, so that a zone without a watcher hears from the others. A watcher calls at most five times a second. Records are reconciled with the store every two minutes instead of 30 s, since greetings bring them round.

The soak takes a cached result for that of changed code no longer, and reads the store's count under its lock.

TestShouldWatch fails without the change.

--- a/core/roster/audience.go
+++ b/core/roster/audience.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, addresses := range far {
-		a.Relays = append(a.Relays, draw(addresses, relaysPerRegion)...)
+		a.Relays = append(a.Relays, Draw(addresses, relaysPerRegion)...)
 	}
 	return a
 }
@@ -86,8 +86,8 @@
 	return out
 }
 
-// draw returns up to n addresses at random.
-func draw(addresses []string, n int) []string {
+// Draw returns up to n of the addresses at random, and reorders them.
+func Draw(addresses []string, n int) []string {
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(n, len(addresses))]
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -54,6 +54,8 @@
 	aside   bool
 	probeAt time.Time
 	probing time.Duration // until the probe after that
+	// watchingAt is when the daemon last said that it waits for changes at the store.
+	watchingAt time.Time
 }
 
 // Roster is the set of known records. Use New.
@@ -67,6 +69,9 @@
 	own     fleet.DaemonID
 	mu      sync.Mutex
 	members map[fleet.DaemonID]*member
+	// enoughAt is when enough watchers of the own zone were last heard, at first
+	// when this daemon began to listen.
+	enoughAt time.Time
 }
 
 // New returns a roster of the daemon with the given id.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,51 @@
 	is.True(used())
 	is.Equal(len(r.Probes()), 0)
 }
+
+// TestShouldWatch guards against a zone in which no daemon waits for changes at
+// the store, and against a store that each daemon of the fleet waits at.
+func TestShouldWatch(t *testing.T) {
+	is := is.New(t)
+	place := fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}
+	now := time.Unix(100, 0)
+	zone := map[fleet.DaemonID]*roster.Roster{}
+	ids := []fleet.DaemonID{"a", "b", "c", "d", "e"}
+	for _, id := range ids {
+		r := roster.New(id)
+		r.Now = func() time.Time { return now }
+		for _, other := range ids {
+			r.Offer(roster.Record{Daemon: other, Incarnation: 1, PeerAddress: string(other), Place: place})
+		}
+		zone[id] = r
+	}
+	// run lets the daemons that are up greet each other each second, and returns
+	// those that watch at the end.
+	run := func(seconds int, up string) string {
+		watching := ""
+		for range seconds {
+			now = now.Add(time.Second)
+			watching = ""
+			for _, id := range ids {
+				if !strings.Contains(up, string(id)) {
+					continue
+				}
+				watches := zone[id].ShouldWatch(place)
+				if watches {
+					watching += string(id)
+				}
+				for _, other := range ids {
+					zone[other].Watching(id, watches)
+				}
+			}
+		}
+		return watching
+	}
+	for _, r := range zone {
+		r.Watching("a", true)
+		r.Watching("b", true)
+	}
+	is.Equal(run(10, "abcde"), "ab")
+	is.Equal(run(10, "bcde"), "bc")
+	is.Equal(run(3, "de"), "de")
+	is.Equal(run(10, "abcde"), "ab")
+}
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"time"
 
+	"pollenscale/core/roster"
 	"pollenscale/core/route"
 	"pollenscale/core/store"
 	"pollenscale/core/wait"
@@ -12,20 +14,44 @@
 	"github.com/cockroachdb/errors"
 )
 
-// watchTime is how long one call waits for a new configuration. The store allows 30 s.
-const watchTime = 25 * time.Second
+const (
+	// watchTime is how long one call waits for a new configuration. The store
+	// allows 30 s.
+	watchTime = 25 * time.Second
+	// maxConfigBytes bounds a configuration that another daemon sends.
+	maxConfigBytes = 4 << 20
+)
+
+const (
+	// watchSpacing is the least time between two calls that wait for changes, so
+	// that a series of configurations does not cost a call each.
+	watchSpacing = 200 * time.Millisecond
+	// electInterval is how often a daemon looks whether it has to watch the store.
+	electInterval = 500 * time.Millisecond
+	// toldNear and toldFar are the numbers of daemons that are told of a new
+	// configuration at once. Each tells as many in turn.
+	toldNear = 8
+	toldFar  = 4
+)
 
-// watchConfig keeps the operator's configuration.
+// watchConfig keeps the operator's configuration: a few daemons of each zone
+// wait for changes at the store, the others hear from them. A daemon that knows
+// no configuration reads it itself.
 func (s *Sidecar) watchConfig(ctx context.Context) error {
 	pause := storeRetry
+	read := false
 	for ctx.Err() == nil {
+		if read || s.holder.Current() != nil {
+			s.awaitTurn(ctx)
+		}
 		version, ok := s.readConfig(ctx)
 		if ok {
-			pause = storeRetry
+			read, pause = true, storeRetry
 		}
-		for ok {
+		for ok && s.mustWatch() && wait.For(ctx, watchSpacing) {
 			version, ok = s.awaitConfig(ctx, version)
 		}
+		s.watching.Store(false)
 		if !wait.For(ctx, jittered(pause)) {
 			return nil
 		}
@@ -34,6 +60,22 @@
 	return nil
 }
 
+// mustWatch reports whether this daemon has to watch the store, and tells the
+// others with the next greeting.
+func (s *Sidecar) mustWatch() bool {
+	must := s.roster.ShouldWatch(s.settings.Load().Place)
+	if s.watching.Swap(must) != must {
+		s.log.Info("config: watch of the store changed.", "watching", must, "version", s.holder.Version())
+	}
+	return must
+}
+
+// awaitTurn waits until this daemon has to watch the store.
+func (s *Sidecar) awaitTurn(ctx context.Context) {
+	for !s.roster.ShouldWatch(s.settings.Load().Place) && wait.For(ctx, electInterval) {
+	}
+}
+
 // readConfig reads the configuration row and returns the version from which to watch.
 func (s *Sidecar) readConfig(ctx context.Context) (store.Version, bool) {
 	row, _, err := s.tables.Read(ctx, s.protocol.ConfigTable, s.protocol.ConfigKey)
@@ -82,9 +124,34 @@
 	}
 }
 
-// configChanged takes over what other parts keep of the configuration.
+// configChanged takes over what other parts keep of the configuration, and tells
+// some of the other daemons.
 func (s *Sidecar) configChanged(_, now *route.Config) {
 	s.meters.version.Set(float64(now.Version))
+	if s.node == nil {
+		return
+	}
+	place := s.settings.Load().Place
+	for _, address := range roster.Draw(s.roster.Neighbours(place), toldNear) {
+		s.node.TellConfig(address)
+	}
+	for _, address := range roster.Draw(s.roster.Distant(place), toldFar) {
+		s.node.TellConfig(address)
+	}
+}
+
+// readPeerConfig reads the configuration of another daemon.
+func (s *Sidecar) readPeerConfig(ctx context.Context, address string) error {
+	r, err := s.call(ctx, address, callConfig)
+	if err != nil {
+		return err
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxConfigBytes))
+	if err = errors.CombineErrors(err, r.Close()); err != nil {
+		return err
+	}
+	s.offerConfig(raw, address)
+	return nil
 }
 
 // jittered returns between half of d and one and a half of it, so that daemons
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -315,9 +315,7 @@
 	if l, ok := readLoad(h, to); ok {
 		s.chooser.Observe(l)
 	}
-	if v, address := readVersion(h); v > s.holder.Version() {
-		s.follow(address)
-	}
+	s.newerConfig(readVersion(h))
 }
 
 func errOutcome(e *outcome.Error) outcome.Outcome {
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -10,6 +10,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/roster"
+	"pollenscale/core/route"
 	"pollenscale/core/store"
 	"pollenscale/core/wait"
 	"pollenscale/io/announce"
@@ -25,7 +26,7 @@
 	listLimit = 500
 	// reconcileInterval is how often the records in the store are read. Changes
 	// arrive by datagram; this finds what datagrams lost.
-	reconcileInterval = 30 * time.Second
+	reconcileInterval = 2 * time.Minute
 	// storeRetry is the first pause after a failed call; it doubles up to
 	// maxStoreRetry, so that the store is found again within 1.5 s of its return.
 	storeRetry    = 300 * time.Millisecond
@@ -103,7 +104,7 @@
 }
 
 func (s *Sidecar) ownMessage() announce.Message {
-	return announce.Message{From: s.ownRecord(), Version: s.holder.Version()}
+	return announce.Message{From: s.ownRecord(), Version: s.holder.Version(), Watching: s.watching.Load()}
 }
 
 // received takes over what a datagram says of a daemon.
@@ -127,8 +128,17 @@
 		s.node.Greet(m.From.AnnounceAddress)
 	}
 	s.roster.Heard(m.From.Daemon)
-	if alone || m.Version > s.holder.Version() {
-		s.follow(m.From.PeerAddress)
+	s.roster.Watching(m.From.Daemon, m.Watching)
+	if alone {
+		s.follow(news{address: m.From.PeerAddress, records: true})
+	}
+	s.newerConfig(m.Version, m.From.PeerAddress)
+}
+
+// newerConfig follows a daemon that has a newer configuration.
+func (s *Sidecar) newerConfig(v route.Version, peerAddress string) {
+	if v > s.holder.Version() && peerAddress != "" {
+		s.follow(news{address: peerAddress, version: v})
 	}
 }
 
@@ -247,7 +257,13 @@
 // few of the others.
 func (s *Sidecar) greet(round int) {
 	place := s.settings.Load().Place
-	s.greetSome(s.roster.Neighbours(place), round, greetedNear)
+	near := s.roster.Neighbours(place)
+	if s.watching.Load() {
+		// All daemons of the zone rely on a watcher.
+		s.greetSome(near, 0, len(near))
+	} else {
+		s.greetSome(near, round, greetedNear)
+	}
 	s.greetSome(s.roster.Distant(place), round, greetedFar)
 }
 
@@ -358,34 +374,62 @@
 	}
 }
 
-// follow asks for the knowledge of a daemon that knows more. A request that
-// comes while another is waiting is dropped.
-func (s *Sidecar) follow(address string) {
+func (s *Sidecar) serveConfig(w http.ResponseWriter) {
+	if _, err := w.Write(s.holder.Raw()); err != nil {
+		s.log.Debug("config: not sent.", "error", err)
+	}
+}
+
+// news is what another daemon knows more: a configuration, or the records too.
+type news struct {
+	address string
+	version route.Version
+	records bool
+}
+
+// follow asks for the knowledge of a daemon that knows more. It is dropped when
+// several daemons are to be asked already.
+func (s *Sidecar) follow(n news) {
 	select {
-	case s.news <- address:
+	case s.news <- n:
 	default:
 	}
 }
 
-// followNews reads the snapshots of daemons that know more.
+// followNews reads what other daemons know more.
 func (s *Sidecar) followNews(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case address := <-s.news:
-			if err := s.readSnapshot(ctx, address); err != nil {
-				s.log.Info("member: snapshot not read.", "from", address, "error", err)
+		case n := <-s.news:
+			if err := s.read(ctx, n); err != nil {
+				s.log.Info("member: news not read.", "from", n.address, "version", n.version, "error", err)
 			}
 		}
 	}
 }
 
-func (s *Sidecar) readSnapshot(ctx context.Context, address string) error {
-	r, err := s.peer(address).Do(ctx, &http1.Request{
-		Method: http.MethodGet, Target: "/", Host: address, Header: http.Header{hopCall: {callSnapshot}},
+func (s *Sidecar) read(ctx context.Context, n news) error {
+	switch {
+	case n.records:
+		return s.readSnapshot(ctx, n.address)
+	case n.version > s.holder.Version():
+		return s.readPeerConfig(ctx, n.address)
+	}
+	return nil
+}
+
+// call asks another daemon for a part of what it knows.
+func (s *Sidecar) call(ctx context.Context, address, name string) (*http1.Response, error) {
+	return s.peer(address).Do(ctx, &http1.Request{
+		Method: http.MethodGet, Target: "/", Host: address, Header: http.Header{hopCall: {name}},
 		Deadline: s.now().Add(snapshotTimeout),
 	})
+}
+
+func (s *Sidecar) readSnapshot(ctx context.Context, address string) error {
+	r, err := s.call(ctx, address, callSnapshot)
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -40,9 +40,10 @@
 
 // The calls of daemons.
 const (
-	callSettle   = "Settle" // stop the attempt if it has not started
-	callCheck    = "Check"  // stop the attempt if it has not arrived
-	callSnapshot = "Snapshot"
+	callSettle   = "Settle"   // stop the attempt if it has not started
+	callCheck    = "Check"    // stop the attempt if it has not arrived
+	callSnapshot = "Snapshot" // all records and the configuration
+	callConfig   = "Config"   // the configuration as the operator wrote it
 )
 
 // terms are what the entry decided about an attempt.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -71,7 +71,8 @@
 	budgets map[fleet.Service]*retry.Shared
 
 	publisher publisher
-	news      chan string // addresses of daemons with newer configuration or records
+	news      chan news   // what other daemons know more
+	watching  atomic.Bool // the daemon waits for changes at the store
 	startedAt time.Time
 	joined    atomic.Bool // the records of the others were read
 	stopping  atomic.Bool
@@ -101,7 +102,7 @@
 		limit:       limit.Warm(1),
 		peers:       make(map[string]*http1.Pool),
 		budgets:     make(map[fleet.Service]*retry.Shared),
-		news:        make(chan string, 1),
+		news:        make(chan news, 4),
 		slowed:      make(chan struct{}, 1),
 	}
 	for _, o := range options {
@@ -142,6 +143,7 @@
 	node.Received = s.received
 	node.Alive = s.roster.Heard
 	node.Lost = s.relayLost
+	node.Newer = s.newerConfig
 	node.OnError = func(err error) { s.log.Debug("announce: failed.", "error", err) }
 
 	var group run.Group
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -63,9 +63,7 @@
 // servePeer serves the attempts and calls of other daemons.
 func (s *Sidecar) servePeer(w http.ResponseWriter, r *http.Request) {
 	now := s.now()
-	if v, address := readVersion(r.Header); v > s.holder.Version() {
-		s.follow(address)
-	}
+	s.newerConfig(readVersion(r.Header))
 	writeVersion(w.Header(), s.holder.Version(), s.settings.Load().Peers)
 	switch r.Header.Get(hopCall) {
 	case callSettle:
@@ -77,6 +75,9 @@
 	case callSnapshot:
 		s.serveSnapshot(w)
 		return
+	case callConfig:
+		s.serveConfig(w)
+		return
 	}
 	ref, ok := readAttempt(r.Header)
 	t, ok2 := readTerms(r.Header, now)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,10 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	// The program under test, so that a cached result is not taken for that of
+	// changed code.
+	_ "pollenscale/platform"
 )
 
 var (
@@ -86,6 +90,8 @@
 	time.Sleep(2 * time.Second)
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
 	t.Logf("seed %d: %v, %d store calls", seed, s.ledger.counts, s.store.calls)
 	for i, v := range s.ledger.violations {
 		if i < 10 {
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -46,6 +46,8 @@
 	Probe Purpose = "Probe"
 	// Ack acknowledges. It carries no record.
 	Ack Purpose = "Ack"
+	// Config says that a configuration has come into force. It carries no record.
+	Config Purpose = "Config"
 )
 
 // Message is a datagram.
@@ -59,13 +61,17 @@
 	// datagram without a record.
 	About fleet.DaemonID `json:",omitempty"`
 	By    fleet.DaemonID `json:",omitempty"`
+	// PeerAddress is where the configuration can be read.
+	PeerAddress string `json:",omitempty"`
+	// Watching is set while the sender waits for changes at the store.
+	Watching bool `json:",omitempty"`
 }
 
 // asks reports whether the sender of a record wants an acknowledgement.
 func (p Purpose) asks() bool { return p == News || p == Relay || p == Relayed }
 
 // carries reports whether a datagram carries a record.
-func (p Purpose) carries() bool { return p != Ack && p != Probe }
+func (p Purpose) carries() bool { return p != Ack && p != Probe && p != Config }
 
 // Node sends and receives datagrams on one socket. Use Listen.
 type Node struct {
@@ -76,6 +82,8 @@
 	// Alive is called when a datagram without a record shows that a daemon can be
 	// reached.
 	Alive func(fleet.DaemonID)
+	// Newer is called when a daemon has a new configuration.
+	Newer func(version route.Version, peerAddress string)
 	// Lost is called with the address of a relay that did not acknowledge.
 	Lost func(relay string)
 	// OnError receives errors of the socket and datagrams that cannot be read.
@@ -115,6 +123,7 @@
 	return &Node{
 		conn: conn, pending: make(map[receipt]pending), OnError: func(error) {},
 		Alive: func(fleet.DaemonID) {}, Lost: func(string) {},
+		Newer: func(route.Version, string) {},
 	}, nil
 }
 
@@ -129,6 +138,12 @@
 	n.write(address, Message{Purpose: Probe, By: n.Own().From.Daemon})
 }
 
+// TellConfig tells the daemon at an address once which configuration is in force.
+func (n *Node) TellConfig(address string) {
+	own := n.Own()
+	n.write(address, Message{Purpose: Config, By: own.From.Daemon, Version: own.Version, PeerAddress: own.From.PeerAddress})
+}
+
 // Announce sends this daemon's message to the addresses until each has
 // acknowledged it or a few datagrams were sent.
 func (n *Node) Announce(p Purpose, addresses []string) {
@@ -258,6 +273,9 @@
 		delete(n.pending, receipt{address: from.String(), about: m.About})
 		n.mu.Unlock()
 	}
+	if m.Purpose == Config {
+		n.Newer(m.Version, m.PeerAddress)
+	}
 	if m.By != "" {
 		n.Alive(m.By)
 	}
