io/tablestore: name the client of the table service after what it speaks to

Cause: io/platform and platform/ were two folders of one name, with a client of a store each. The first speaks the product's own form of a table service and an object store, the second the users' platform.

Change: io/platform is io/tablestore. Settings, flags and metrics keep their names.

--- a/core/store/store.go
+++ b/core/store/store.go
@@ -3,7 +3,7 @@
 // and whole objects.
 //
 // Tables and Objects are structs of function fields. In a daemon, package
-// io/platform fills them; in tests, package standin/memstore does.
+// io/tablestore fills them; in tests, package standin/memstore does.
 //
 // An error of Transact means that the outcome is not known: the transaction may
 // have taken effect. Callers settle this by reading back, with an identity of
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -17,7 +17,7 @@
 
 	"pollenscale/core/config"
 	"pollenscale/core/policy"
-	"pollenscale/io/platform"
+	"pollenscale/io/tablestore"
 )
 
 const (
@@ -125,7 +125,7 @@
 	if objects == "" {
 		objects = f.tables
 	}
-	client := platform.New(f.tables, objects, platform.WithBudget(commandRate, commandRate, commandBurst))
+	client := tablestore.New(f.tables, objects, tablestore.WithBudget(commandRate, commandRate, commandBurst))
 	parent := c.Context()
 	if parent == nil {
 		parent = context.Background()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -10,7 +10,7 @@
 	"pollenscale/core/upload"
 	"pollenscale/core/wait"
 	"pollenscale/io/operator"
-	"pollenscale/io/platform"
+	"pollenscale/io/tablestore"
 )
 
 const (
@@ -36,14 +36,14 @@
 
 // storeClient is the daemon's client of the platform.
 type storeClient struct {
-	*platform.Client
+	*tablestore.Client
 	up     atomic.Bool
 	parked atomic.Pointer[[]upload.Record]
 }
 
 func newStoreClient(address string) *storeClient {
 	url := "http://" + address
-	c := &storeClient{Client: platform.New(url, url, platform.WithBudget(fleetReads, fleetWrites, storeBurst))}
+	c := &storeClient{Client: tablestore.New(url, url, tablestore.WithBudget(fleetReads, fleetWrites, storeBurst))}
 	c.up.Store(true)
 	return c
 }
--- a/io/platform/platform.go
+++ b/io/tablestore/platform.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's table service and object
+// Package tablestore is the client of the platform's table service and object
 // store. It fills store.Tables and store.Objects.
 //
 // The table service is spoken to in JSON, the object store with plain PUT, GET
@@ -15,7 +15,7 @@
 // within a budget of requests per second that shrinks while the platform fails.
 // Transactions and puts are sent once: after an error their outcome is open,
 // and only the caller can settle it.
-package platform
+package tablestore
 
 import (
 	"bytes"
--- a/io/platform/platform_test.go
+++ b/io/tablestore/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"time"
 
 	"pollenscale/core/store"
-	"pollenscale/io/platform"
+	"pollenscale/io/tablestore"
 	"pollenscale/standin/memstore"
 	standin "pollenscale/standin/platform"
 
@@ -26,14 +26,14 @@
 
 // serve returns a client of handler with a budget that does not matter and
 // short time-outs.
-func serve(t *testing.T, handler http.Handler, options ...platform.Option) (*platform.Client, string) {
+func serve(t *testing.T, handler http.Handler, options ...tablestore.Option) (*tablestore.Client, string) {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	options = append([]platform.Option{
-		platform.WithBudget(10_000, 10_000, 1000),
-		platform.WithTimeouts(300*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond),
+	options = append([]tablestore.Option{
+		tablestore.WithBudget(10_000, 10_000, 1000),
+		tablestore.WithTimeouts(300*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond),
 	}, options...)
-	client := platform.New(server.URL, server.URL, options...)
+	client := tablestore.New(server.URL, server.URL, options...)
 	t.Cleanup(func() { client.Close(); server.CloseClientConnections(); server.Close() })
 	return client, server.URL
 }
@@ -147,7 +147,7 @@
 		requests.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	client, _ := serve(t, handler, platform.WithBudget(10, 10, 3))
+	client, _ := serve(t, handler, tablestore.WithBudget(10, 10, 3))
 	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
 	defer cancel()
 	for range 5 {
@@ -171,7 +171,7 @@
 		}
 		_, _ = io.WriteString(w, "{}")
 	})
-	client, _ := serve(t, handler, platform.WithBudget(200, 200, 1), platform.WithTimeouts(600*time.Millisecond, 100*time.Millisecond, time.Second))
+	client, _ := serve(t, handler, tablestore.WithBudget(200, 200, 1), tablestore.WithTimeouts(600*time.Millisecond, 100*time.Millisecond, time.Second))
 	read := func(calls int) (failed int) {
 		ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
 		defer cancel()
@@ -208,7 +208,7 @@
 			return
 		}
 		n, _ := io.Copy(io.Discard, r.Body)
-		_ = json.NewEncoder(w).Encode(platform.PutResponse{Size: n})
+		_ = json.NewEncoder(w).Encode(tablestore.PutResponse{Size: n})
 	})
 	client, _ := serve(t, handler)
 	var before, after runtime.MemStats
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,7 +1,7 @@
 // Package platform serves a memstore over HTTP, as a stand-in for the
 // platform's table service and object store.
 //
-// The paths below /tables and /objects are those that package io/platform
+// The paths below /tables and /objects are those that package io/tablestore
 // calls. Below /admin the faults of the store are switched on and off:
 //
 //	GET  /admin/faults   the faults in force, as Faults
@@ -20,7 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pollenscale/core/store"
-	client "pollenscale/io/platform"
+	client "pollenscale/io/tablestore"
 	"pollenscale/standin/memstore"
 )
 
