io/http1: learn when a peer forgets idle connections

Cause: a connection that is silently forgotten after 300 ms fails the request that is sent on it next. A request that cannot be repeated took any connection that had been idle for up to 2 s, and each forgotten connection of a pool cost one request.

Ruled out: the check for bytes or an end before the reuse; a peer that forgets sends neither.

Change: a request that cannot be repeated takes a connection that has been idle for 200 ms at most, and opens another one otherwise, without closing the idle ones. After a reset on a reused connection the pool keeps connections for three quarters of that idle time, for 30 s.

TestForgottenConnections fails without it: 5 of 6 requests failed, now 1.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -130,10 +130,14 @@
 	})
 	reused := c.used > 0
 	c.used++
+	started := time.Now()
 	head, asked, err := c.converse(r) //nolint:bodyclose // the caller closes the Response
 	if err != nil {
 		stop()
 		c.discard()
+		if reused && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+			c.pool.forgot(started.Sub(c.idleSince))
+		}
 		return nil, c.explain(ctx, err)
 	}
 	return &Response{
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -201,3 +201,54 @@
 		t.Error("the peer was not told within half a second")
 	}
 }
+
+// TestForgottenConnections guards against requests that fail one after the other
+// on connections that the peer forgets sooner than it says, and against one that
+// cannot be repeated and is sent on a connection that has been idle.
+func TestForgottenConnections(t *testing.T) {
+	is := is.New(t)
+	const forgetAfter = 80 * time.Millisecond
+	var rested sync.Map // when each connection was answered last
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		last, ok := rested.Load(r.RemoteAddr)
+		if ok && time.Since(last.(time.Time)) > forgetAfter {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				err = conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+			}
+			is.NoErr(err)
+			return
+		}
+		rested.Store(r.RemoteAddr, time.Now())
+	}))
+	server.Start()
+	defer server.Close()
+	do := func(pool *http1.Pool, fresh bool) bool {
+		r, err := pool.Do(t.Context(), &http1.Request{
+			Method: http.MethodGet, Target: "/", Host: "x", Fresh: fresh, Deadline: time.Now().Add(time.Second),
+		})
+		if err != nil {
+			return false
+		}
+		_, err = io.Copy(io.Discard, r)
+		return errors.CombineErrors(err, r.Close()) == nil
+	}
+	pool := http1.New(server.Listener.Addr().String())
+	defer pool.Close()
+	failed := 0
+	for range 6 {
+		if !do(pool, false) {
+			failed++
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	is.Equal(failed, 1)
+
+	cold := http1.New(server.Listener.Addr().String())
+	defer cold.Close()
+	for range 3 {
+		is.True(do(cold, true))
+		time.Sleep(250 * time.Millisecond)
+	}
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -21,8 +21,12 @@
 	// maxIdle is how long an idle connection is kept when the peer says nothing.
 	maxIdle = 8 * time.Second
 	// freshIdle is the longest idle time of a connection for a request that
-	// cannot be repeated.
-	freshIdle = 2 * time.Second
+	// cannot be repeated: some peers forget connections that rested for 300 ms.
+	freshIdle = 200 * time.Millisecond
+	// restPart is the part of the idle time of a forgotten connection for which
+	// others are kept, and restFor how long that holds.
+	restPart = 0.75
+	restFor  = 30 * time.Second
 	// idleMargin is kept before the time at which the peer closes.
 	idleMargin = time.Second
 	// unackedTimeout bounds how long sent bytes may stay without an acknowledgement.
@@ -41,6 +45,10 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// rest bounds the idle time of connections until restUntil, since the peer
+	// forgot one that had been idle for longer.
+	rest      time.Duration
+	restUntil time.Time
 }
 
 // New returns a pool for an address.
@@ -90,27 +98,53 @@
 	return errors.CombineErrors(err, failed)
 }
 
-// take returns the connection that was used last, or nil.
+// take returns the connection that was used last, or nil if there is none that
+// is fit for use. Those below it have been idle for longer.
 func (p *Pool) take(fresh bool) *conn {
 	now := time.Now()
 	for {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
+		c := p.pop(fresh, now)
+		if c == nil {
 			return nil
 		}
-		c := p.idle[n-1]
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		if c.idleUntil.After(now) && (!fresh || now.Sub(c.idleSince) < freshIdle) && c.quiet() {
+		if c.idleUntil.After(now) && c.quiet() {
 			return c
 		}
 		c.discard()
 	}
 }
 
+// pop removes the connection that was used last, unless it has been idle for too
+// long for a fresh one.
+func (p *Pool) pop(fresh bool, now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 || fresh && now.Sub(p.idle[n-1].idleSince) > freshIdle {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	if p.restUntil.After(now) && now.Sub(c.idleSince) > p.rest {
+		c.idleUntil = now
+	}
+	return c
+}
+
+// forgot records that the peer had forgotten a connection that was idle for the
+// given time.
+func (p *Pool) forgot(idle time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rest := time.Duration(restPart * float64(idle))
+	if p.restUntil.Before(now) || rest < p.rest {
+		p.rest = rest
+	}
+	p.restUntil = now.Add(restFor)
+}
+
 func (p *Pool) put(c *conn, idle time.Duration) {
 	if c.spoiled || c.reader.Buffered() > 0 {
 		c.discard()
