internal/sidecar: keep requests that crash targets from further targets

Cause: the sidecar did not recognise a request that crashes each target that begins to run it; its client sends it again and each entry passed it on.

Change: the target's daemon takes part in core/poison as the daemon does. The entry sends a fingerprint of service, method, path and body with each attempt. A connection that is lost beside a target that accepts no other means a crash; the requests that ran become suspects, which the daemons of the service are told. A suspect runs at one elected target, alone; one that crashes it is refused from then on as not run. A refusal may name the target that should run the request.

TestPoison fails without it: the third and fourth copy reached the target. TestLostAnswerIsNoCrash guards against requests marked for a lost answer.

--- /dev/null
+++ b/internal/sidecar/crashes_test.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pollenscale/core/exchange"
+	"pollenscale/core/fleet"
+	"pollenscale/core/localtarget"
+	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
+	"pollenscale/core/roster"
+
+	"github.com/matryer/is"
+)
+
+// crashing is a target that ends at each request for one path.
+type crashing struct {
+	address string
+	runs    atomic.Int64 // of that path
+	server  *http.Server
+}
+
+func startCrashing(t *testing.T) *crashing {
+	t.Helper()
+	c := &crashing{address: "127.0.0.1:0"}
+	c.start(t)
+	t.Cleanup(func() { c.server.Close() })
+	return c
+}
+
+// start starts the target, once more after a crash.
+func (c *crashing) start(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", c.address)
+	is.New(t).NoErr(err)
+	c.address = listener.Addr().String()
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/poison") {
+			c.runs.Add(1)
+			server.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	c.server = server
+	go server.Serve(listener) //nolint:errcheck // ends with the target
+}
+
+// beside returns a daemon beside a target.
+func beside(address string, id string) *Sidecar {
+	s := New(Settings{Peers: id, Target: address}, Protocol{
+		WriteRequest: func(http.Header, exchange.Forward, time.Time) {},
+		ReadAnswer:   func(int, http.Header) exchange.Answer { return exchange.Answer{Genuine: true} },
+	})
+	s.local.Beat(localtarget.Heartbeat{ID: exchange.TargetID(id), Service: "agenda", Born: 1, Sequence: 1, Slots: 9}, time.Now())
+	s.limit.SetSlots(9)
+	s.limit.Restart()
+	s.asked.Store(true)
+	return s
+}
+
+func (s *Sidecar) runPath(ctx context.Context, path string) verdict {
+	_, v := s.runWork(ctx, &work{
+		method: http.MethodGet, target: path, host: "x", header: http.Header{}, start: func() error { return nil },
+		terms: terms{
+			service: "agenda", deadline: time.Now().Add(time.Second),
+			fingerprint: poison.Of("agenda", http.MethodGet, path, "", nil),
+		},
+	})
+	return v
+}
+
+// TestPoison guards against a request that crashes one target after the other,
+// sent again by its client, also through a daemon that has heard of the crashes
+// from another.
+func TestPoison(t *testing.T) {
+	is := is.New(t)
+	target := startCrashing(t)
+	s := beside(target.address, "127.0.0.1:1")
+	other := beside(target.address, "127.0.0.1:2")
+	sibling := httptest.NewServer(http.HandlerFunc(other.servePeer))
+	defer sibling.Close()
+	s.roster.Offer(roster.Record{
+		Daemon: "127.0.0.1:2", Incarnation: 1, PeerAddress: sibling.Listener.Addr().String(), Service: "agenda", State: fleet.Draining,
+	})
+	for range 2 {
+		v := s.runPath(t.Context(), "/poison/1")
+		is.Equal(v.err.Outcome, outcome.Unknown)
+		target.start(t)
+	}
+	for _, daemon := range []*Sidecar{s, other} {
+		v := daemon.runPath(t.Context(), "/poison/1")
+		is.Equal(v.err.Outcome, outcome.NotRun)
+		is.Equal(v.err.Reason, outcome.Poison)
+		is.True(daemon.runPath(t.Context(), "/other").err == nil)
+	}
+	is.Equal(target.runs.Load(), int64(2))
+}
+
+// TestLostAnswerIsNoCrash guards against requests that are taken for poison since
+// one answer was lost while the target goes on.
+func TestLostAnswerIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer target.Close()
+	s := beside(target.Listener.Addr().String(), "127.0.0.1:1")
+	for range 3 {
+		is.Equal(s.runPath(t.Context(), "/lost").err.Outcome, outcome.Unknown)
+	}
+	suspects, condemned := s.poison.Len()
+	is.Equal(suspects+condemned, 0)
+}
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -9,6 +9,7 @@
 	"pollenscale/core/choice"
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -63,14 +64,23 @@
 			}
 		}
 		q.tried = append(q.tried, c.Target.Daemon)
+		q.hint = ""
+		if v.err != nil {
+			q.hint = fleet.DaemonID(v.err.Hint)
+		}
 	}
 }
 
+// fingerprint identifies the request when its client sends it again.
+func (q *request) fingerprint() poison.Fingerprint {
+	return poison.Of(q.service, q.method, q.target, "", q.body)
+}
+
 // pick chooses the target of the next attempt.
 func (s *Sidecar) pick(q *request, work time.Duration) (choice.Choice, error) {
 	return s.chooser.Pick(choice.Request{
 		Service: q.service, Urgent: q.route.Priority == 0, Tried: q.tried, Final: q.redirects >= maxRedirects,
-		InTime: q.inTime(s.now()), Work: work, Bulk: q.bulk(),
+		InTime: q.inTime(s.now()), Work: work, Bulk: q.bulk(), Hint: q.hint,
 	})
 }
 
@@ -115,6 +125,9 @@
 		return false
 	}
 	notRun := a == nil && v.err.Outcome == outcome.NotRun
+	if notRun && v.err.Reason == outcome.Poison {
+		return false
+	}
 	if notRun && !v.arrived {
 		return !final || elsewhere(v.err.Reason)
 	}
@@ -156,6 +169,7 @@
 	t := terms{
 		service: q.service, priority: q.route.Priority, caller: s.settings.Load().Service,
 		deadline: q.deadline, startBy: c.StartBy, idempotent: q.route.Idempotent(), work: work, inTime: q.objective(),
+		fingerprint: q.fingerprint(),
 	}
 	if c.Target.Daemon == s.id {
 		a, v := s.runHere(ctx, q, t)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -44,7 +44,8 @@
 	reached    int // attempts that reached a target
 	redirects  int
 	tried      []fleet.DaemonID
-	mayHaveRun bool // some attempt reached a target and was not refused there
+	hint       fleet.DaemonID // the daemon that a refusal named
+	mayHaveRun bool           // some attempt reached a target and was not refused there
 }
 
 // serveCaller serves the requests of clients and of the target beside the daemon.
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -9,6 +9,7 @@
 	"pollenscale/core/attempt"
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
 	"pollenscale/core/route"
 )
 
@@ -21,14 +22,15 @@
 	hopAttempt = "Pollenscale-Attempt"
 	// hopTerms are the terms of an attempt: service, priority, caller's service,
 	// microseconds to the deadline and to the latest start (-1: none), whether the
-	// request is idempotent, its expected work in microseconds, and microseconds to
-	// its objective (-1: none).
+	// request is idempotent, its expected work in microseconds, microseconds to its
+	// objective (-1: none), and its fingerprint.
 	hopTerms = "Pollenscale-Terms"
 	// hopVersion is the configuration version of the sender, with the address
 	// from which a newer configuration can be read.
 	hopVersion = "Pollenscale-Version"
 	// hopOutcome is set on answers that the target did not make: the outcome,
-	// reason, whether the target saw the request, and milliseconds to a useful retry.
+	// reason, whether the target saw the request, milliseconds to a useful retry,
+	// the daemon that should run it instead ("-": any), and the detail.
 	hopOutcome = "Pollenscale-Outcome"
 	// hopLoad is the load of the target.
 	hopLoad = "Pollenscale-Load"
@@ -44,6 +46,7 @@
 	callCheck    = "Check"    // stop the attempt if it has not arrived
 	callSnapshot = "Snapshot" // all records and the configuration
 	callConfig   = "Config"   // the configuration as the operator wrote it
+	callCrash    = "Crash"    // a crash report
 )
 
 // terms are what the entry decided about an attempt.
@@ -58,6 +61,8 @@
 	work time.Duration
 	// inTime is when the answer loses most of its worth, zero if that is the deadline.
 	inTime time.Time
+	// fingerprint identifies the request when its client sends it again.
+	fingerprint poison.Fingerprint
 }
 
 func writeAttempt(h http.Header, ref attempt.Ref) {
@@ -91,6 +96,7 @@
 		string(t.service), strconv.Itoa(t.priority), string(t.caller),
 		strconv.FormatInt(t.deadline.Sub(now).Microseconds(), 10), writeTime(t.startBy, now),
 		strconv.FormatBool(t.idempotent), strconv.FormatInt(t.work.Microseconds(), 10), writeTime(t.inTime, now),
+		strconv.FormatUint(uint64(t.fingerprint), 16),
 	}, " ")}
 }
 
@@ -112,7 +118,7 @@
 
 func readTerms(h http.Header, now time.Time) (terms, bool) {
 	f := strings.Split(h.Get(hopTerms), " ")
-	if len(f) != 8 {
+	if len(f) != 9 {
 		return terms{}, false
 	}
 	priority, err1 := strconv.Atoi(f[1])
@@ -120,13 +126,14 @@
 	startBy, err3 := readTime(f[4], now)
 	work, err4 := strconv.ParseInt(f[6], 10, 64)
 	inTime, err5 := readTime(f[7], now)
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
+	fingerprint, err6 := strconv.ParseUint(f[8], 16, 64)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil || err6 != nil {
 		return terms{}, false
 	}
 	return terms{
 		service: fleet.Service(f[0]), priority: priority, caller: fleet.Service(f[2]),
 		deadline: now.Add(time.Duration(left) * time.Microsecond), startBy: startBy, idempotent: f[5] == "true",
-		work: time.Duration(work) * time.Microsecond, inTime: inTime,
+		work: time.Duration(work) * time.Microsecond, inTime: inTime, fingerprint: poison.Fingerprint(fingerprint),
 	}, true
 }
 
@@ -137,22 +144,32 @@
 	arrived bool
 }
 
+// noHint stands for the absence of a hint in hopOutcome.
+const noHint = "-"
+
 func writeVerdict(h http.Header, v verdict, now time.Time) {
 	wait := int64(-1)
 	if !v.err.RetryAt.IsZero() {
 		wait = max(0, v.err.RetryAt.Sub(now).Milliseconds())
 	}
+	hint := v.err.Hint
+	if hint == "" {
+		hint = noHint
+	}
 	h[hopOutcome] = []string{strings.Join([]string{
-		string(v.err.Outcome), string(v.err.Reason), strconv.FormatBool(v.arrived), strconv.FormatInt(wait, 10), v.err.Detail,
+		string(v.err.Outcome), string(v.err.Reason), strconv.FormatBool(v.arrived), strconv.FormatInt(wait, 10), hint, v.err.Detail,
 	}, " ")}
 }
 
 func readVerdict(h http.Header, now time.Time) (verdict, bool) {
-	f := strings.SplitN(h.Get(hopOutcome), " ", 5)
-	if len(f) != 5 || !outcome.Outcome(f[0]).Valid() {
+	f := strings.SplitN(h.Get(hopOutcome), " ", 6)
+	if len(f) != 6 || !outcome.Outcome(f[0]).Valid() {
 		return verdict{}, false
 	}
-	v := verdict{err: outcome.New(outcome.Outcome(f[0]), outcome.Reason(f[1]), f[4]), arrived: f[2] == "true"}
+	v := verdict{err: outcome.New(outcome.Outcome(f[0]), outcome.Reason(f[1]), f[5]), arrived: f[2] == "true"}
+	if f[4] != noHint {
+		v.err.Hint = f[4]
+	}
 	if wait, err := strconv.ParseInt(f[3], 10, 64); err == nil && wait >= 0 {
 		v.err.RetryAt = now.Add(time.Duration(wait) * time.Millisecond)
 	}
--- /dev/null
+++ b/internal/sidecar/private_test.go
@@ -0,0 +1,46 @@
+package sidecar
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"pollenscale/core/attempt"
+	"pollenscale/core/outcome"
+
+	"github.com/matryer/is"
+)
+
+// TestTerms guards against terms, attempts and refusals that do not arrive as they
+// were sent.
+func TestTerms(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, sent := range []terms{
+		{service: "agenda", priority: 2, caller: "cobros", deadline: now.Add(time.Second), idempotent: true},
+		{
+			service: "agenda", deadline: now.Add(time.Second), startBy: now.Add(20 * time.Millisecond),
+			work: 50 * time.Millisecond, inTime: now.Add(400 * time.Millisecond), fingerprint: 1 << 63,
+		},
+	} {
+		h := http.Header{}
+		writeTerms(h, sent, now)
+		got, ok := readTerms(h, now)
+		is.True(ok)
+		is.Equal(got, sent)
+	}
+	ref := attempt.Ref{ID: attempt.ID{Daemon: "d", Incarnation: 7, Sequence: 9}, OpenFrom: 8, Target: 3}
+	h := http.Header{}
+	writeAttempt(h, ref)
+	got, ok := readAttempt(h)
+	is.True(ok)
+	is.Equal(got, ref)
+
+	refusal := outcome.New(outcome.NotRun, outcome.Overloaded, "a detail of words")
+	refusal.Hint, refusal.RetryAt = "127.0.0.1:7", now.Add(time.Second)
+	h = http.Header{}
+	writeVerdict(h, verdict{err: refusal, arrived: true}, now)
+	v, ok := readVerdict(h, now)
+	is.True(ok)
+	is.Equal(v, verdict{err: refusal, arrived: true})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"pollenscale/core/limit"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
 	"pollenscale/core/retry"
 	"pollenscale/core/roster"
 	"pollenscale/core/route"
@@ -56,6 +57,7 @@
 	node    *announce.Node
 
 	local  localtarget.State
+	poison *poison.List
 	limit  *limit.Limit
 	queue  *admit.Queue
 	target atomic.Pointer[http1.Pool]
@@ -118,6 +120,7 @@
 	s.roster = roster.New(s.id)
 	s.roster.OnChange = s.refreshTargets
 	s.queue = admit.New(ranks(), s.limit)
+	s.poison = s.newPoison()
 	s.holder.OnChange = s.configChanged
 	s.setTarget(settings.Target)
 	return s
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -78,6 +78,9 @@
 	case callConfig:
 		s.serveConfig(w)
 		return
+	case callCrash:
+		s.serveCrash(w, r)
+		return
 	}
 	ref, ok := readAttempt(r.Header)
 	t, ok2 := readTerms(r.Header, now)
@@ -176,14 +179,22 @@
 		s.logRefusal(w, v.err)
 		return nil, v
 	}
+	run, err := s.poison.Begin(w.terms.fingerprint)
+	if err != nil {
+		ticket.Return()
+		s.logRefusal(w, asOutcome(err))
+		return nil, verdict{err: asOutcome(err)}
+	}
 	if err := w.start(); err != nil {
 		ticket.Return()
+		run.End(ctx, false)
 		return nil, verdict{err: asOutcome(err)}
 	}
 	started := s.now()
 	s.meters.phase("queue", started.Sub(arrived))
 	a, v := s.exchange(ctx, w, view)
 	took := s.now().Sub(started)
+	s.endRun(ctx, run, v)
 	s.meters.phase("target", took)
 	switch {
 	case v.err != nil && v.err.Outcome == outcome.NotRun:
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -72,6 +72,17 @@
 	return c.exchange(ctx, r)
 }
 
+// Connect opens a connection and keeps it for later requests. An error says that
+// the peer accepts none.
+func (p *Pool) Connect(ctx context.Context, deadline time.Time) error {
+	c, err := p.dial(ctx, deadline)
+	if err != nil {
+		return err
+	}
+	p.put(c, 0)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, deadline time.Time) (*conn, error) {
 	limit := time.Now().Add(dialTimeout)
 	if !deadline.IsZero() && deadline.Before(limit) {
