internal/sidecar: a process outlives the incarnation of an earlier one

Cause: incarnations are the time of day at the start. When it has stepped back between two starts of a daemon, all others take the new process for the older one: they ignore its records, answer its attempts as closed (so that each request that is not idempotent fails with an unknown outcome), and send attempts that it refuses; a drain that the earlier process acknowledged is not restored. That lasts until the clock has caught up and the daemon starts once more.

A daemon that hears an older incarnation than it knows sends back what it knows. Steps of more than a year are set aside with a log line.

TestClockStepsBack fails without the change.

--- a/core/attempt/opener.go
+++ b/core/attempt/opener.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"pollenscale/core/fleet"
 )
@@ -13,6 +14,8 @@
 	Daemon      fleet.DaemonID
 	Incarnation fleet.Incarnation
 
+	renewed atomic.Uint64 // replaces Incarnation unless 0
+
 	mu    sync.RWMutex
 	pairs map[fleet.DaemonID]*pair
 }
@@ -30,6 +33,17 @@
 	pair *pair
 }
 
+// Renew replaces the incarnation of the entry, which was found to be lower than
+// that of an earlier process. The numbers of attempts go on.
+func (o *Opener) Renew(i fleet.Incarnation) { o.renewed.Store(uint64(i)) }
+
+func renewedOr(renewed *atomic.Uint64, first fleet.Incarnation) fleet.Incarnation {
+	if i := renewed.Load(); i != 0 {
+		return fleet.Incarnation(i)
+	}
+	return first
+}
+
 // Open returns the next attempt for the target.
 func (o *Opener) Open(target fleet.Target) Open {
 	p := o.pair(target.Daemon)
@@ -38,7 +52,7 @@
 	p.closed = append(p.closed, false)
 	sequence := p.base + Sequence(len(p.closed)) - 1
 	return Open{pair: p, Ref: Ref{
-		ID:       ID{Daemon: o.Daemon, Incarnation: o.Incarnation, Sequence: sequence},
+		ID:       ID{Daemon: o.Daemon, Incarnation: renewedOr(&o.renewed, o.Incarnation), Sequence: sequence},
 		Target:   target.Incarnation,
 		OpenFrom: p.base,
 	}}
--- a/core/attempt/table.go
+++ b/core/attempt/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pollenscale/core/fleet"
@@ -27,7 +28,8 @@
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 
-	shards [shards]shard
+	renewed atomic.Uint64 // replaces Own unless 0
+	shards  [shards]shard
 }
 
 type shard struct {
@@ -50,12 +52,18 @@
 	cancel func()
 }
 
+// Renew replaces the incarnation of the daemon, which was found to be lower than
+// that of an earlier process. Recorded attempts stay.
+func (t *Table) Renew(i fleet.Incarnation) { t.renewed.Store(uint64(i)) }
+
+func (t *Table) own() fleet.Incarnation { return renewedOr(&t.renewed, t.Own) }
+
 // Begin records a new attempt as Queued. It refuses an attempt that addresses
 // another incarnation, that was settled before it arrived, or that arrived
 // already. The function cancel, which may be nil, is called without waiting
 // when the attempt is settled as not run while it is queued.
 func (t *Table) Begin(ref Ref, cancel func()) (*Record, error) {
-	if ref.Target != t.Own {
+	if ref.Target != t.own() {
 		return nil, stale(outcome.NotRun, "attempt addresses another incarnation")
 	}
 	s := t.shard(ref.ID.Daemon)
@@ -100,7 +108,7 @@
 // and known says what is done with one that arrived. Whatever known does, an
 // attempt that did not run is answered so.
 func (t *Table) ask(ref Ref, known func(*entry, *Record) Settlement) Settlement {
-	if ref.Target != t.Own {
+	if ref.Target != t.own() {
 		return Settlement{Outcome: outcome.Unknown}
 	}
 	s := t.shard(ref.ID.Daemon)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -110,6 +110,17 @@
 	return m != nil && m.record.Incarnation == i
 }
 
+// Record returns the known record of a daemon.
+func (r *Roster) Record(id fleet.DaemonID) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	if m == nil {
+		return Record{}, false
+	}
+	return m.record, true
+}
+
 // Heard records a sign of life of a daemon.
 func (r *Roster) Heard(id fleet.DaemonID) {
 	r.mu.Lock()
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -37,6 +37,8 @@
 	// greetedNear and greetedFar are the numbers of daemons greeted each time.
 	greetedNear = 8
 	greetedFar  = 2
+	// maxStep bounds how far the time of day is believed to have stepped back.
+	maxStep = 366 * 24 * time.Hour
 	// snapshotTimeout bounds the reading of another daemon's knowledge.
 	snapshotTimeout = time.Second
 )
@@ -97,7 +99,7 @@
 	sequence := s.publisher.sequence
 	s.publisher.mu.Unlock()
 	return roster.Record{
-		Daemon: s.id, Incarnation: s.incarnation, Sequence: sequence, PeerAddress: settings.Peers,
+		Daemon: s.id, Incarnation: s.incarnation(), Sequence: sequence, PeerAddress: settings.Peers,
 		AnnounceAddress: settings.Announce, Place: settings.Place, Service: view.Service,
 		Target: view.ID, Born: view.Born, Slots: view.Slots, State: s.ownState(), TargetState: view.State,
 	}
@@ -110,6 +112,7 @@
 // received takes over what a datagram says of a daemon.
 func (s *Sidecar) received(m announce.Message) {
 	if m.From.Daemon == s.id {
+		s.recall(m.From)
 		return
 	}
 	alone := s.roster.Len() <= 1
@@ -124,6 +127,9 @@
 	if m.Purpose == announce.Relayed {
 		return
 	}
+	if known, ok := s.roster.Record(m.From.Daemon); ok && known.Incarnation > m.From.Incarnation {
+		s.node.PassOn(known, []string{m.From.AnnounceAddress})
+	}
 	if fresh && joined {
 		s.node.Greet(m.From.AnnounceAddress)
 	}
@@ -217,7 +223,7 @@
 	for _, row := range rows {
 		version = row.Version
 		if version > 0 {
-			s.restore(row)
+			s.meetOwnRow(row)
 		}
 	}
 	s.publisher.mu.Lock()
@@ -300,7 +306,9 @@
 		s.log.Warn("member: row set aside.", "key", row.Key, "version", row.Version, "error", err)
 		return
 	}
-	if r.Daemon != s.id && s.roster.Offer(r) {
+	if r.Daemon == s.id {
+		s.outlive(r.Incarnation)
+	} else if s.roster.Offer(r) {
 		s.logMember(r, "store")
 	}
 }
@@ -316,15 +324,43 @@
 	return r, nil
 }
 
-// restore takes over the state of the target that an earlier process recorded in
-// the own row.
-func (s *Sidecar) restore(row store.Row) {
+// meetOwnRow takes over what the own row says of an earlier process.
+func (s *Sidecar) meetOwnRow(row store.Row) {
 	r, err := decodeRecord(row)
 	if err != nil {
 		s.log.Warn("member: own row set aside.", "version", row.Version, "error", err)
 		return
 	}
-	if r.Target == "" || r.Incarnation >= s.incarnation {
+	s.outlive(r.Incarnation)
+	if r.Incarnation < s.incarnation() {
+		s.restore(r, row.Version)
+	}
+}
+
+// incarnation tells this process from earlier and later ones of the daemon.
+func (s *Sidecar) incarnation() fleet.Incarnation { return fleet.Incarnation(s.started.Load()) }
+
+// outlive raises the own incarnation above that of an earlier process. The time
+// of day, from which incarnations come, may have stepped back since it started;
+// other daemons would take this process for the older one.
+func (s *Sidecar) outlive(earlier fleet.Incarnation) {
+	own := s.incarnation()
+	if earlier > own+fleet.Incarnation(maxStep) {
+		s.log.Error("daemon: record of an impossible process set aside.", "incarnation", earlier, "own", own)
+		return
+	}
+	if earlier <= own || !s.started.CompareAndSwap(uint64(own), uint64(earlier)+1) {
+		return
+	}
+	s.opener.Renew(earlier + 1)
+	s.table.Renew(earlier + 1)
+	s.log.Warn("daemon: the time of day has stepped back since an earlier process.", "earlier", earlier, "incarnation", earlier+1)
+	s.changed()
+}
+
+// restore takes over the state of the target that an earlier process recorded.
+func (s *Sidecar) restore(r roster.Record, version store.Version) {
+	if r.Target == "" {
 		return
 	}
 	view := localtarget.View{
@@ -341,13 +377,14 @@
 	s.publisher.mu.Lock()
 	s.publisher.sequence++
 	s.publisher.mu.Unlock()
-	s.log.Info("target: state restored.", "target", r.Target, "state", s.local.View().State, "version", row.Version)
+	s.log.Info("target: state restored.", "target", r.Target, "state", s.local.View().State, "version", version)
 }
 
-// recallDrain takes over a drain that an earlier process of this daemon
-// acknowledged, as other daemons remember it.
-func (s *Sidecar) recallDrain(r roster.Record) {
-	if r.Incarnation >= s.incarnation || r.TargetState != fleet.Draining || r.Target == "" {
+// recall takes over what other daemons remember of an earlier process: its
+// incarnation, and a drain that it acknowledged.
+func (s *Sidecar) recall(r roster.Record) {
+	s.outlive(r.Incarnation)
+	if r.Incarnation == s.incarnation() || r.TargetState != fleet.Draining || r.Target == "" {
 		return
 	}
 	if verdict := s.local.Leave(r.Target, r.Born, s.now()); verdict == localtarget.Changed {
@@ -440,7 +477,7 @@
 	}
 	for _, record := range got.Records {
 		if record.Daemon == s.id {
-			s.recallDrain(record)
+			s.recall(record)
 			continue
 		}
 		if s.roster.Offer(record) {
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"pollenscale/core/attempt"
 	"pollenscale/core/fleet"
 	"pollenscale/core/roster"
 	"pollenscale/core/store"
@@ -24,7 +25,7 @@
 	before := s.ownRecord()
 	is.Equal(before.State, fleet.Leaving)
 	value, err := json.Marshal(roster.Record{
-		Daemon: s.id, Incarnation: s.incarnation - 1, PeerAddress: "127.0.0.1:1", Service: "agenda",
+		Daemon: s.id, Incarnation: s.incarnation() - 1, PeerAddress: "127.0.0.1:1", Service: "agenda",
 		Target: "i-1", Born: 5, Slots: 9, State: fleet.Leaving, TargetState: fleet.Serving,
 	})
 	is.NoErr(err)
@@ -48,6 +49,34 @@
 	is.True(v.err != nil)
 }
 
+// TestClockStepsBack guards against a daemon that all others take for its earlier
+// process, since the time of day stepped back between the two: its records would
+// be ignored, its attempts refused as closed, and a drain be forgotten.
+func TestClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{Peers: "127.0.0.1:1"}, Protocol{})
+	earlier := roster.Record{
+		Daemon: s.id, Incarnation: s.incarnation() + fleet.Incarnation(time.Hour), Sequence: 9, PeerAddress: "127.0.0.1:1",
+		Service: "agenda", Target: "i-1", Slots: 9, TargetState: fleet.Draining,
+	}
+	others := roster.New("other")
+	others.Offer(earlier)
+	value, err := json.Marshal(earlier)
+	is.NoErr(err)
+	s.meetConflict([]store.Row{{Table: membersTable, Key: string(s.id), Value: value, Version: 7}})
+	is.True(others.Offer(s.ownRecord()))
+	is.Equal(s.local.View().State, fleet.Draining)
+
+	target := attempt.Table{Own: 1}
+	before := attempt.Opener{Daemon: s.id, Incarnation: earlier.Incarnation}
+	for _, o := range []*attempt.Opener{&before, &s.opener} {
+		_, err := target.Begin(o.Open(fleet.Target{Daemon: "other", Incarnation: 1}).Ref, nil)
+		is.NoErr(err)
+	}
+	_, err = s.table.Begin(attempt.Ref{ID: attempt.ID{Daemon: "other", Sequence: 1}, Target: s.incarnation()}, nil)
+	is.NoErr(err)
+}
+
 // TestPublishOnce guards against two writers of the own record, at the start and
 // on a change, that both declare the same changes written.
 func TestPublishOnce(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,9 +45,9 @@
 	omitted  func() uint64
 	now      func() time.Time
 
-	settings    atomic.Pointer[Settings]
-	id          fleet.DaemonID
-	incarnation fleet.Incarnation
+	settings atomic.Pointer[Settings]
+	id       fleet.DaemonID
+	started  atomic.Uint64 // own incarnation
 
 	holder  route.Holder
 	roster  *roster.Roster
@@ -99,13 +99,12 @@
 func New(settings Settings, p Protocol, options ...Option) *Sidecar {
 	s := &Sidecar{
 		protocol: p, log: slog.Default(), omitted: func() uint64 { return 0 }, now: time.Now,
-		id:          fleet.DaemonID(settings.Peers),
-		incarnation: fleet.Incarnation(time.Now().UnixNano()),
-		limit:       limit.Warm(1),
-		peers:       make(map[string]*http1.Pool),
-		budgets:     make(map[fleet.Service]*retry.Shared),
-		news:        make(chan news, 4),
-		slowed:      make(chan struct{}, 1),
+		id:      fleet.DaemonID(settings.Peers),
+		limit:   limit.Warm(1),
+		peers:   make(map[string]*http1.Pool),
+		budgets: make(map[fleet.Service]*retry.Shared),
+		news:    make(chan news, 4),
+		slowed:  make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(s)
@@ -114,8 +113,9 @@
 	s.startedAt = s.now()
 	s.meters = s.newMeters()
 	s.publisher.wake = make(chan struct{}, 1)
-	s.opener = attempt.Opener{Daemon: s.id, Incarnation: s.incarnation}
-	s.table = attempt.Table{Own: s.incarnation}
+	s.started.Store(uint64(time.Now().UnixNano()))
+	s.opener.Daemon = s.id
+	s.opener.Incarnation, s.table.Own = s.incarnation(), s.incarnation()
 	s.chooser = choice.New(settings.Place)
 	s.roster = roster.New(s.id)
 	s.roster.OnChange = s.refreshTargets
@@ -179,7 +179,7 @@
 	add(func(ctx context.Context) error { return wait.Every(ctx, refreshInterval, s.refresh) })
 	add(func(ctx context.Context) error { return wait.Every(ctx, sweepInterval, s.sweep) })
 	add(func(ctx context.Context) error { return wait.Every(ctx, settingsInterval, s.checkSettings) })
-	s.log.Info("daemon: started.", "daemon", s.id, "incarnation", s.incarnation, "zone", settings.Place.AvailabilityZone)
+	s.log.Info("daemon: started.", "daemon", s.id, "incarnation", s.incarnation(), "zone", settings.Place.AvailabilityZone)
 	err = group.Run()
 	s.log.Info("daemon: stopped.", "reason", err)
 	if s.stopping.Load() || ctx.Err() != nil {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -118,7 +118,7 @@
 // ownLoad is the load of the target beside the daemon.
 func (s *Sidecar) ownLoad() fleet.Load {
 	l := s.queue.Load(s.now())
-	l.Daemon, l.Incarnation, l.State = s.id, s.incarnation, s.ownState()
+	l.Daemon, l.Incarnation, l.State = s.id, s.incarnation(), s.ownState()
 	return l
 }
 
