internal/soak: proxies between daemons and to the store

Cause: the soak could not delay, reset, cut one way or silence what passes between daemons, since a daemon advertised the address on which it listens.

Change: settings may name the addresses at which other daemons reach this one. The soak puts a proxy for connections and datagrams before each daemon and one before the store for each daemon, and plays six kinds of faults with them, beside the nine that it had.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -193,7 +193,7 @@
 	header := q.header.Clone()
 	writeAttempt(header, ref)
 	writeTerms(header, t, now)
-	writeVersion(header, s.holder.Version(), s.settings.Load().Peers)
+	writeVersion(header, s.holder.Version(), s.settings.Load().PeerAddress())
 	// A connection can be silent for good. Then the other daemon does not know
 	// the attempt, which a question on another connection shows.
 	check := time.AfterFunc(checkAfter(t.work), func() { s.checkAttempt(ctx, cancel, q, to, ref) })
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -99,8 +99,8 @@
 	sequence := s.publisher.sequence
 	s.publisher.mu.Unlock()
 	return roster.Record{
-		Daemon: s.id, Incarnation: s.incarnation(), Sequence: sequence, PeerAddress: settings.Peers,
-		AnnounceAddress: settings.Announce, Place: settings.Place, Service: view.Service,
+		Daemon: s.id, Incarnation: s.incarnation(), Sequence: sequence, PeerAddress: settings.PeerAddress(),
+		AnnounceAddress: settings.AnnounceAddress(), Place: settings.Place, Service: view.Service,
 		Target: view.ID, Born: view.Born, Slots: view.Slots, State: s.ownState(), TargetState: view.State,
 	}
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"reflect"
 	"time"
 
@@ -18,6 +19,9 @@
 	// daemons, for the question whether it takes clients, for the target's
 	// heartbeats, for datagrams of daemons, and for metrics.
 	Callers, Peers, Ready, Control, Announce, Metrics string
+	// AdvertisePeers and AdvertiseAnnounce are the addresses at which other daemons
+	// reach Peers and Announce, where they differ, as behind a proxy.
+	AdvertisePeers, AdvertiseAnnounce string
 	// Seeds are addresses of other daemons, which may be stale; often empty.
 	Seeds []string
 	// Target is the address of the target beside the daemon, Service what it runs.
@@ -33,5 +37,11 @@
 	Retries retry.Terms
 }
 
+// PeerAddress is where other daemons send attempts.
+func (s *Settings) PeerAddress() string { return cmp.Or(s.AdvertisePeers, s.Peers) }
+
+// AnnounceAddress is where other daemons send datagrams.
+func (s *Settings) AnnounceAddress() string { return cmp.Or(s.AdvertiseAnnounce, s.Announce) }
+
 // Equal reports whether two settings are the same.
 func (s Settings) Equal(o *Settings) bool { return reflect.DeepEqual(s, *o) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -99,7 +99,7 @@
 func New(settings Settings, p Protocol, options ...Option) *Sidecar {
 	s := &Sidecar{
 		protocol: p, log: slog.Default(), omitted: func() uint64 { return 0 }, now: time.Now,
-		id:      fleet.DaemonID(settings.Peers),
+		id:      fleet.DaemonID(settings.PeerAddress()),
 		limit:   limit.Warm(1),
 		peers:   make(map[string]*http1.Pool),
 		budgets: make(map[fleet.Service]*retry.Shared),
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -64,7 +64,7 @@
 func (s *Sidecar) servePeer(w http.ResponseWriter, r *http.Request) {
 	now := s.now()
 	s.newerConfig(readVersion(r.Header))
-	writeVersion(w.Header(), s.holder.Version(), s.settings.Load().Peers)
+	writeVersion(w.Header(), s.holder.Version(), s.settings.Load().PeerAddress())
 	switch r.Header.Get(hopCall) {
 	case callSettle:
 		s.serveSettle(w, r, s.table.Settle)
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -27,6 +27,11 @@
 	portReady   = 8302
 	portCallers = 8304
 	portControl = 8306
+	// The proxies through which daemons reach each other and the store.
+	portPeersProxy    = 8310
+	portStoreProxy    = 8312
+	portAnnounce      = 7620
+	portAnnounceProxy = 7630
 )
 
 var services = []string{"agenda", "reservas"}
@@ -57,6 +62,8 @@
 	ready   atomic.Bool
 	log     *os.File
 	busy    sync.Mutex // held by a fault of the process or the target
+	peers   *proxy     // between the daemon and the others
+	store   *proxy     // between the daemon and the store
 }
 
 func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
@@ -69,13 +76,24 @@
 			"inbound": v.address(portPeers), "outbound": v.address(portCallers),
 			"ready": v.address(portReady), "control": v.address(portControl),
 		},
-		"internalPorts": []int{7620, 7635}, "seeds": []string{},
-		"bounds":  []string{"drainS=2", "graceS=6", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetExtraRetries=58"},
-		"appAddr": v.address(portTarget), "service": v.service,
-		"provider": map[string]any{"address": v.site.prefix + ".250:8309"},
+		"internalPorts": []int{portAnnounce, 7635}, "seeds": []string{},
+		"advertise": map[string]string{"peers": v.address(portPeersProxy), "announce": v.address(portAnnounceProxy)},
+		"bounds":    []string{"drainS=2", "graceS=6", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetExtraRetries=58"},
+		"appAddr":   v.address(portTarget), "service": v.service,
+		"provider": map[string]any{"address": v.address(portStoreProxy)},
 	})
 }
 
+// connect starts the proxies of the VM.
+func (v *vm) connect() (err error) {
+	v.peers, err = startProxy(v.address(portPeersProxy), v.address(portPeers), v.address(portAnnounceProxy), v.address(portAnnounce))
+	if err != nil {
+		return err
+	}
+	v.store, err = startProxy(v.address(portStoreProxy), v.site.prefix+".250:8309", "", "")
+	return err
+}
+
 // start starts the daemon of the VM.
 func (v *vm) start() error {
 	data, err := v.settings()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,8 @@
 
 // TestSoak guards against broken promises while processes are stopped, paused,
 // killed and restarted, targets drain, crash and lose answers, the configuration
-// changes and the store is away, alone and overlapping.
+// changes, the store is away, and connections between daemons and to the store are
+// delayed, reset, cut one way and silenced, alone and overlapping.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "sidecar")
 	build := exec.Command("go", "build", "-o", binary, "pollenscale/cmd/sidecar")
@@ -124,6 +125,9 @@
 			t.Fatal(err)
 		}
 		v.log = log
+		if err := v.connect(); err != nil {
+			t.Fatal(err)
+		}
 		if err := v.start(); err != nil {
 			t.Fatal(err)
 		}
@@ -141,6 +145,8 @@
 		v.signal(syscall.SIGKILL)
 		<-v.exited
 		v.target.stop()
+		v.peers.stop()
+		v.store.stop()
 		if err := v.log.Close(); err != nil {
 			t.Error(err)
 		}
@@ -174,7 +180,7 @@
 		i := rng.IntN(len(s.vms))
 		v := s.vms[i]
 		length := time.Duration(300+rng.IntN(1500)) * time.Millisecond
-		kind := rng.IntN(9)
+		kind := rng.IntN(15)
 		faults.Go(func() error { return s.fault(v, kind, length) })
 		time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
 	}
@@ -229,9 +235,38 @@
 		v.target.lose = 0
 		v.target.mu.Unlock()
 	}
+	if kind > 8 {
+		v.disturbLinks(kind, length)
+	}
 	return nil
 }
 
+// disturbLinks plays a fault of the connections between the daemon and the other
+// daemons or the store.
+func (v *vm) disturbLinks(kind int, length time.Duration) {
+	switch kind {
+	case 9:
+		v.peers.delay.Store(int64(length / 16))
+		time.Sleep(length)
+		v.peers.delay.Store(0)
+	case 10:
+		v.peers.reset()
+		v.store.reset()
+	case 11, 12:
+		dropped := &v.peers.cut[kind-11]
+		dropped.Store(true)
+		time.Sleep(length)
+		dropped.Store(false)
+	case 13:
+		v.peers.silence()
+		v.store.silence()
+	case 14:
+		v.store.cut[outward].Store(true)
+		time.Sleep(length)
+		v.store.cut[outward].Store(false)
+	}
+}
+
 // exclusively plays a fault unless another one holds the VM.
 func (v *vm) exclusively(f func() error) error {
 	if !v.busy.TryLock() {
