core/admit, core/choice: targets report their pace

Cause: a target that turns slow for seconds while its health is good goes on getting requests. An entry judged a target by the requests that wait there and by the usual time of the route, and the slow answers come late.

Ruled out: the slowdown header, which tells of neighbours and not of this; the failure ratio, since the answers are good.

Change: a target's daemon smooths how long requests take relative to what is expected of them, and looks at the ages of those that run, so that it knows before the first slow answer. The pace travels with the load; an entry adds what it costs the request to the target's cost, and to the time at which home answers. A request that cannot finish at that pace is refused at once.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -95,7 +95,8 @@
 	held     []time.Time // ends of slots held after fast failures, ascending
 	queued   int
 	sequence uint64
-	mean     float64   // smoothed service time in seconds
+	mean     float64 // smoothed service time in seconds
+	pace     pace
 	paused   bool      // nothing starts until Resume
 	pause    float64   // smoothed length of a pause in seconds
 	waitedAt time.Time // since when a request waits for the end of the pause
@@ -200,6 +201,7 @@
 		WaitLow:    q.wait(len(q.ranks)-1, q.ranks[len(q.ranks)-1].queued+1),
 		WaitUrgent: q.wait(0, q.ranks[0].queued+1),
 		Service:    seconds(q.mean),
+		Pace:       q.pace.value(now),
 	}
 }
 
@@ -210,6 +212,10 @@
 		q.refuse(t, outcome.CannotFinish, "less than the service time is left", now)
 		return
 	}
+	if slow := q.pace.value(now); !r.Deadline.IsZero() && now.Add(time.Duration(slow*float64(t.work()))).After(r.Deadline) {
+		q.refuse(t, outcome.CannotFinish, "the target is too slow at the moment", now)
+		return
+	}
 	position := slices.Index(q.ranks, t.rank)
 	if q.queued == 0 && q.free(now) > 0 {
 		q.start(t, now)
@@ -349,6 +355,7 @@
 	invariant.Check(t.state == submitted || t.state == queued, "admit_once", "start of a ticket that is %s", t.state)
 	t.state = granted
 	t.started = now
+	q.pace.start(now, t.request.Work)
 	if !t.request.Untypical {
 		t.rank.observeStart(now.Sub(t.arrived), t.slack(), now)
 	}
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -109,6 +109,7 @@
 	}
 	t.state = released
 	took := now.Sub(t.started)
+	q.pace.end(t.started, now, t.request.Work, ran && ok)
 	if ran {
 		q.limit.Observe(took, q.running, ok)
 	}
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -301,7 +301,7 @@
 			if t == elsewhere && !c.Spare(n.target.Place.Region) {
 				continue
 			}
-			cost := n.cost(now) + 2*c.delay(t)
+			cost := n.cost(now, r.Work) + 2*c.delay(t)
 			if best == nil || cost < least-best.part(margin) {
 				best, least = n, cost
 			}
@@ -361,7 +361,7 @@
 	if work == 0 {
 		work = n.serviceTime()
 	}
-	return leave(now.Add(n.wait(r.Urgent, now) + work).After(r.InTime))
+	return leave(now.Add(n.wait(r.Urgent, now) + work + n.excess(now, work)).After(r.InTime))
 }
 
 // shortest returns the target at which to queue.
@@ -378,7 +378,7 @@
 		if best != nil && n.tier == elsewhere && !c.Spare(n.target.Place.Region) {
 			return
 		}
-		cost := n.wait(r.Urgent, now) + 2*c.delay(n.tier) + n.penalty()
+		cost := n.wait(r.Urgent, now) + 2*c.delay(n.tier) + n.excess(now, r.Work) + n.penalty()
 		if best == nil || cost < least {
 			best, least = n, cost
 		}
--- a/core/choice/home_test.go
+++ b/core/choice/home_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// TestSlowTarget guards against requests that stay at a target which has turned
+// slow, since few of them wait there, and against one that is avoided for good.
+func TestSlowTarget(t *testing.T) {
+	is := is.New(t)
+	home := fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}
+	now := time.Unix(1000, 0)
+	chooser := choice.New(home)
+	chooser.Now = func() time.Time { return now }
+	chooser.SetTargets([]fleet.Target{
+		{Daemon: "slow", Incarnation: 1, Place: home, Service: "agenda", State: fleet.Serving, Slots: 9},
+		{Daemon: "sister", Incarnation: 1, Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-b"}, Service: "agenda", State: fleet.Serving, Slots: 9},
+	})
+	const work = 120 * time.Millisecond
+	chooser.Observe(fleet.Load{Daemon: "slow", Incarnation: 1, Sequence: 1, State: fleet.Serving, Slots: 9, Service: work, Pace: 5})
+	chooser.Observe(fleet.Load{Daemon: "sister", Incarnation: 1, Sequence: 1, State: fleet.Serving, Slots: 9, Running: 6, Service: work, Pace: 1})
+	at := func() (slow int) {
+		for range 100 {
+			c, err := chooser.Pick(choice.Request{Service: "agenda", Work: work, InTime: now.Add(400 * time.Millisecond)})
+			is.NoErr(err)
+			if c.Target.Daemon == "slow" {
+				slow++
+			}
+			chooser.Done(c, choice.Result{})
+		}
+		return slow
+	}
+	is.True(at() < 5)
+	now = now.Add(10 * time.Second)
+	is.True(at() > 50)
+}
--- a/core/choice/node.go
+++ b/core/choice/node.go
@@ -19,6 +19,9 @@
 	trialShare = (1 << 24) / 100
 	// usualOccupancy is the occupancy that is assumed without a recent report.
 	usualOccupancy = 0.8
+	// paceHalf is the age of a report at which half of the excess that it tells is
+	// still expected: targets turn slow for seconds.
+	paceHalf = 2 * time.Second
 	// defaultService is assumed until a target reports its service time.
 	defaultService = 10 * time.Millisecond
 )
@@ -38,11 +41,12 @@
 
 	state    atomic.Int32 // 1 when the last report says that work is taken
 	slots    atomic.Int64
-	load     atomic.Int64 // running and queued at the last report
-	service  atomic.Int64 // nanoseconds
-	waitLow  atomic.Int64 // nanoseconds
-	waitHigh atomic.Int64 // nanoseconds
-	reported atomic.Int64 // nanoseconds since 1970
+	load     atomic.Int64  // running and queued at the last report
+	service  atomic.Int64  // nanoseconds
+	waitLow  atomic.Int64  // nanoseconds
+	waitHigh atomic.Int64  // nanoseconds
+	reported atomic.Int64  // nanoseconds since 1970
+	pace     atomic.Uint64 // bits of the reported pace
 	inFlight atomic.Int64
 	failures atomic.Int64 // failure ratio in millionths
 }
@@ -87,6 +91,7 @@
 	n.service.Store(int64(l.Service))
 	n.waitLow.Store(int64(l.WaitLow))
 	n.waitHigh.Store(int64(l.WaitUrgent))
+	n.pace.Store(math.Float64bits(max(1, l.Pace)))
 	n.reported.Store(at.UnixNano())
 }
 
@@ -146,9 +151,25 @@
 	return expected + float64(n.inFlight.Load())/float64(n.slots.Load())
 }
 
-// cost ranks targets: the time that the requests ahead take, plus penalties.
-func (n *node) cost(now time.Time) time.Duration {
-	return time.Duration(n.occupancy(now)*float64(n.serviceTime())) + n.penalty()
+// cost ranks targets: the time that the requests ahead take, what the target's
+// pace adds to the request's own work, and penalties.
+func (n *node) cost(now time.Time, work time.Duration) time.Duration {
+	return time.Duration(n.occupancy(now)*float64(n.serviceTime())) + n.excess(now, work) + n.penalty()
+}
+
+// excess is how much longer than usual the work takes at the target, as far as
+// its last report still holds.
+func (n *node) excess(now time.Time, work time.Duration) time.Duration {
+	bits := n.pace.Load()
+	if bits == 0 {
+		return 0
+	}
+	if work == 0 {
+		work = n.serviceTime()
+	}
+	age := max(0, now.UnixNano()-n.reported.Load())
+	holds := math.Exp2(-float64(age) / float64(paceHalf))
+	return time.Duration((math.Float64frombits(bits) - 1) * holds * float64(work))
 }
 
 // wait is the reported wait, less the time passed since the report.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -98,6 +98,9 @@
 	WaitUrgent time.Duration
 	// Service is the smoothed service time.
 	Service time.Duration
+	// Pace is how long requests take relative to what is expected of them; 1 is
+	// usual, 0 not known.
+	Pace float64
 }
 
 // String returns the incarnation in decimal digits.
--- a/internal/sidecar/private.go
+++ b/internal/sidecar/private.go
@@ -176,21 +176,24 @@
 	return v, true
 }
 
+// paceUnit is the pace in hundredths, as it travels.
+const paceUnit = 100
+
 func writeLoad(h http.Header, l fleet.Load) {
 	h[hopLoad] = []string{strings.Join([]string{
 		strconv.FormatUint(l.Sequence, 10), string(l.State), strconv.Itoa(int(l.Slots)),
 		strconv.Itoa(int(l.Running)), strconv.Itoa(int(l.Queued)),
 		strconv.FormatInt(l.WaitLow.Microseconds(), 10), strconv.FormatInt(l.WaitUrgent.Microseconds(), 10),
-		strconv.FormatInt(l.Service.Microseconds(), 10),
+		strconv.FormatInt(l.Service.Microseconds(), 10), strconv.FormatInt(int64(l.Pace*paceUnit), 10),
 	}, " ")}
 }
 
 func readLoad(h http.Header, t *fleet.Target) (fleet.Load, bool) {
 	f := strings.Fields(h.Get(hopLoad))
-	if len(f) != 8 {
+	if len(f) != 9 {
 		return fleet.Load{}, false
 	}
-	var n [8]int64
+	var n [9]int64
 	for i, text := range f {
 		if i == 1 {
 			continue
@@ -207,6 +210,7 @@
 		WaitLow:    time.Duration(n[5]) * time.Microsecond,
 		WaitUrgent: time.Duration(n[6]) * time.Microsecond,
 		Service:    time.Duration(n[7]) * time.Microsecond,
+		Pace:       float64(n[8]) / paceUnit,
 	}, true
 }
 
