core/dispatch: wait for an earlier copy of the same request at the key's owner

A starved entry took the owner's connection for silent ("timeout waiting for PING response"), had the attempt settled as not run, sent the request again, and passed on the owner's answer that the first request with the key is under way, which was its own first copy.

Ruled out: a second caller with the same key; it still gets that answer at once.

--- a/core/dispatch/keyed.go
+++ b/core/dispatch/keyed.go
@@ -60,11 +60,16 @@
 		return nil, unvouched("no owner of the key can be reached")
 	}
 	until := d.now().Add(handoverWait)
-	for {
+	for copies := 1; ; copies++ {
 		answer, moved, err := d.decide(ctx, service, r)
 		if err == nil {
 			return answer, nil
 		}
+		if copies > 1 && reasonOf(err) == outcome.Running {
+			// The owner has not ended an earlier copy of this request, whose
+			// connection was taken for lost. Its answer is kept for the key.
+			until, moved = d.now().Add(handoverWait), true
+		}
 		if !moved || d.now().After(until) || !wait.For(ctx, handoverPause) || !r.Body.Again() {
 			return nil, err
 		}
