--- a/internal/sidecar/crashes_test.go
+++ b/internal/sidecar/crashes_test.go
@@ -51,7 +51,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	c.server = server
-	go server.Serve(listener) //nolint:errcheck // ends with the target
+	go server.Serve(listener)
 }
 
 // beside returns a daemon beside a target.
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -79,14 +79,24 @@
 		flow.Close()
 	}
 	p.mu.Unlock()
-	p.group.Wait()
+	if err := p.group.Wait(); err != nil {
+		panic(err) // the harness itself failed
+	}
+}
+
+// unlessClosed returns err unless the proxy was stopped.
+func unlessClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 func (p *proxy) accept() error {
 	for {
 		front, err := p.listener.Accept()
 		if err != nil {
-			return nil
+			return unlessClosed(err)
 		}
 		p.group.Go(func() error {
 			back, err := net.DialTimeout("tcp4", p.to, time.Second)
@@ -171,11 +181,11 @@
 	for {
 		n, from, err := p.packets.ReadFromUDP(buffer)
 		if err != nil {
-			return nil
+			return unlessClosed(err)
 		}
 		flow, err := p.flow(from)
 		if err != nil {
-			return nil
+			return unlessClosed(err)
 		}
 		if !p.cut[inward].Load() {
 			time.Sleep(time.Duration(p.delay.Load()) / 8)
@@ -204,7 +214,7 @@
 		for {
 			n, _, err := c.ReadFromUDP(buffer)
 			if err != nil {
-				return nil
+				return unlessClosed(err)
 			}
 			if !p.cut[outward].Load() {
 				p.packets.WriteToUDP(buffer[:n], from)
--- a/io/announce/announce_test.go
+++ b/io/announce/announce_test.go
@@ -85,7 +85,7 @@
 func TestRelay(t *testing.T) {
 	silent, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	defer silent.Close() //nolint:errcheck // the end of the test
+	defer silent.Close()
 	a, b, c := start(t, "a"), start(t, "b"), start(t, "c")
 	a.Announce(announce.Relay, []string{silent.LocalAddr().String()})
 	eventually(t, "the loss was not reported", func() bool { _, _, lost := a.heard(); return lost == 1 })
