--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -238,6 +238,10 @@
 	var servers []server
 	for _, p := range parts {
 		listener, err := net.Listen("tcp4", p.address)
+		if err != nil && p.address == settings.Metrics {
+			s.log.Error("daemon: no metrics.", "address", p.address, "error", err)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pollenscale/core/store"
+	"pollenscale/standin/memstore"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// free returns a loopback address that nothing listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestMetricsPortTaken guards against a daemon that does not serve since another
+// program uses the port of its metrics, and against metrics that nobody can read.
+func TestMetricsPortTaken(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer taken.Close()
+	for _, metrics := range []string{taken.Addr().String(), free(t)} {
+		settings := Settings{
+			Callers: free(t), Peers: free(t), Ready: free(t), Control: free(t), Announce: "127.0.0.1:0", Metrics: metrics,
+		}
+		tables := memstore.New().Tables()
+		tables.Watch = func(ctx context.Context, _ store.Table, _ store.Version, _ time.Time) (store.Changes, error) {
+			<-ctx.Done()
+			return store.Changes{}, ctx.Err()
+		}
+		s := New(settings, Protocol{ReadyPath: "/ready", ReadSettings: func() (Settings, error) { return settings, nil }}, WithTables(tables))
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return s.Run(ctx) })
+		var answer *http.Response
+		for range 100 {
+			if answer, err = http.Get("http://" + settings.Ready + "/ready"); err == nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		if metrics != taken.Addr().String() {
+			answer, err = http.Get("http://" + metrics + "/metrics")
+			is.NoErr(err)
+			var text strings.Builder
+			is.NoErr(answer.Write(&text))
+			is.NoErr(answer.Body.Close())
+			is.True(strings.Contains(text.String(), "pollenscale_members"))
+		}
+		cancel()
+		is.NoErr(group.Wait())
+	}
+}
