--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -212,7 +212,7 @@
 		q.refuse(t, outcome.CannotFinish, "less than the service time is left", now)
 		return
 	}
-	if slow := q.pace.value(now); !r.Deadline.IsZero() && now.Add(time.Duration(slow*float64(t.work()))).After(r.Deadline) {
+	if !r.Untypical && q.tooSlow(t, now) {
 		q.refuse(t, outcome.CannotFinish, "the target is too slow at the moment", now)
 		return
 	}
@@ -246,6 +246,12 @@
 	q.trim(now)
 }
 
+// tooSlow reports whether the request cannot finish at the pace of the target.
+func (q *Queue) tooSlow(t *Ticket, now time.Time) bool {
+	took := time.Duration(q.pace.value(now) * float64(t.work()))
+	return !t.request.Deadline.IsZero() && now.Add(took).After(t.request.Deadline)
+}
+
 // startNext starts queued tickets while there are free slots.
 func (q *Queue) startNext(now time.Time) {
 	free := q.free(now)
