--- /dev/null
+++ b/internal/sidecar/story_test.go
@@ -0,0 +1,140 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pollenscale/core/exchange"
+	"pollenscale/core/localtarget"
+	"pollenscale/core/poison"
+	"pollenscale/core/route"
+
+	"github.com/matryer/is"
+)
+
+// lines collects log lines as JSON.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// of returns the messages about a request, each with its reason or status.
+func (l *lines) of(t *testing.T, id string) string {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var story []string
+	for line := range strings.Lines(l.text.String()) {
+		var f map[string]any
+		is.New(t).NoErr(json.Unmarshal([]byte(line), &f))
+		if f["request"] != id {
+			continue
+		}
+		why, _ := f["reason"].(string)
+		if detail, ok := f["detail"].(string); ok {
+			why += " " + detail
+		}
+		story = append(story, f["msg"].(string)+" "+why)
+	}
+	return strings.Join(story, "\n")
+}
+
+// TestStories guards against a failed request whose id does not lead to the line
+// with the decision and the reason that failed it.
+func TestStories(t *testing.T) {
+	config, err := route.New(route.Config{Version: 3, Services: []route.Service{{Name: "agenda"}}, Routes: []route.Route{{
+		Name: "slots", Host: "x", Prefix: "/slots/", Kind: route.Unsafe, Timeout: time.Second, MaxAttempts: 2,
+		Services: []route.Weighted{{Service: "agenda", Weight: 1}},
+	}}})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name    string
+		path    string
+		answer  http.HandlerFunc // of the target
+		prepare func(*Sidecar)
+		status  int
+		want    []string // parts of the story, in order
+	}{
+		{"no configuration", "/slots/1", nil, func(s *Sidecar) { s.holder = route.Holder{} }, 503, []string{"entry: rejected. no configuration yet"}},
+		{"no route", "/other/", nil, nil, 404, []string{"entry: rejected. no route"}},
+		{"no target", "/slots/1", nil, func(s *Sidecar) { s.roster.OnChange = func() {}; s.chooser.SetTargets(nil) }, 503,
+			[]string{"entry: failed. NoTarget"}},
+		{"the target drains", "/slots/1", nil, func(s *Sidecar) { s.local.Leave("i-1", 1, time.Now()) }, 503,
+			[]string{"target: refused. Draining", "entry: failed. Draining"}},
+		{"no slot in time", "/slots/1", nil, func(s *Sidecar) { s.queue.Pause(); s.slowdown.Observe(9, time.Now().Add(time.Hour)) }, 503,
+			[]string{"target: refused. ", "entry: failed. "}},
+		{"the target lost the answer", "/slots/1", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, nil, 502,
+			[]string{"target: failed. TargetFailed", "entry: failed. TargetFailed"}},
+		{"the target did not run it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Not-Run", "1"); w.WriteHeader(503) }, nil, 503,
+			[]string{"target: failed. Overloaded the target did not run it", "entry: failed. Overloaded"}},
+		{"the target failed it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, nil, 500,
+			[]string{"target: ran.", "entry: answered."}},
+		{"it crashed targets before", "/slots/1", nil, func(s *Sidecar) {
+			f := poison.Of("agenda", http.MethodPost, "/slots/1", "", nil)
+			s.poison.Apply(poison.Report{Condemned: []poison.Fingerprint{f}, ForgetAt: time.Now().Add(time.Minute)})
+		}, 503, []string{"target: refused. Poison", "entry: failed. Poison"}},
+		{"no answer by the deadline", "/slots/1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, nil, 504,
+			[]string{"target: failed. DeadlineExceeded", "entry: failed. DeadlineExceeded"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			if c.answer == nil {
+				c.answer = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+			}
+			target := httptest.NewServer(c.answer)
+			defer target.Close()
+			log := &lines{}
+			s := New(Settings{Peers: "127.0.0.1:1", Target: target.Listener.Addr().String()}, Protocol{
+				ReadRequest: func(h http.Header, now time.Time) exchange.Request {
+					return exchange.Request{ID: exchange.RequestID(h.Get("Id")), Deadline: now.Add(400 * time.Millisecond)}
+				},
+				WriteRequest: func(http.Header, exchange.Forward, time.Time) {},
+				ReadAnswer: func(_ int, h http.Header) exchange.Answer {
+					return exchange.Answer{ID: "42", Genuine: true, NotExecuted: h.Get("Not-Run") != ""}
+				},
+			}, WithLog(slog.New(slog.NewJSONHandler(log, nil))))
+			s.holder.Offer(config, nil)
+			s.local.Beat(localtarget.Heartbeat{ID: "i-1", Service: "agenda", Born: 1, Sequence: 1, Slots: 1}, time.Now())
+			s.limit.SetSlots(1)
+			s.limit.Restart()
+			s.asked.Store(true)
+			s.roster.Offer(s.ownRecord())
+			if c.prepare != nil {
+				c.prepare(s)
+			}
+			entry := httptest.NewServer(http.HandlerFunc(s.serveCaller))
+			defer entry.Close()
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, entry.URL+c.path, nil)
+			is.NoErr(err)
+			r.Host = "x"
+			r.Header.Set("Id", "42")
+			answer, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			is.NoErr(answer.Body.Close())
+			is.Equal(answer.StatusCode, c.status)
+			story := log.of(t, "42")
+			rest := story
+			for _, part := range c.want {
+				_, after, found := strings.Cut(rest, part)
+				if !found {
+					t.Errorf("no line %q in order in:\n%s", part, story)
+				}
+				rest = after
+			}
+		})
+	}
+}
