--- a/internal/sidecar/story_test.go
+++ b/internal/sidecar/story_test.go
@@ -70,24 +70,38 @@
 	}{
 		{"no configuration", "/slots/1", nil, func(s *Sidecar) { s.holder = route.Holder{} }, 503, []string{"entry: rejected. no configuration yet"}},
 		{"no route", "/other/", nil, nil, 404, []string{"entry: rejected. no route"}},
-		{"no target", "/slots/1", nil, func(s *Sidecar) { s.roster.OnChange = func() {}; s.chooser.SetTargets(nil) }, 503,
-			[]string{"entry: failed. NoTarget"}},
-		{"the target drains", "/slots/1", nil, func(s *Sidecar) { s.local.Leave("i-1", 1, time.Now()) }, 503,
-			[]string{"target: refused. Draining", "entry: failed. Draining"}},
-		{"no slot in time", "/slots/1", nil, func(s *Sidecar) { s.queue.Pause(); s.slowdown.Observe(9, time.Now().Add(time.Hour)) }, 503,
-			[]string{"target: refused. ", "entry: failed. "}},
-		{"the target lost the answer", "/slots/1", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, nil, 502,
-			[]string{"target: failed. TargetFailed", "entry: failed. TargetFailed"}},
-		{"the target did not run it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Not-Run", "1"); w.WriteHeader(503) }, nil, 503,
-			[]string{"target: failed. Overloaded the target did not run it", "entry: failed. Overloaded"}},
-		{"the target failed it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, nil, 500,
-			[]string{"target: ran.", "entry: answered."}},
+		{
+			"no target", "/slots/1", nil, func(s *Sidecar) { s.roster.OnChange = func() {}; s.chooser.SetTargets(nil) }, 503,
+			[]string{"entry: failed. NoTarget"},
+		},
+		{
+			"the target drains", "/slots/1", nil, func(s *Sidecar) { s.local.Leave("i-1", 1, time.Now()) }, 503,
+			[]string{"target: refused. Draining", "entry: failed. Draining"},
+		},
+		{
+			"no slot in time", "/slots/1", nil, func(s *Sidecar) { s.queue.Pause(); s.slowdown.Observe(9, time.Now().Add(time.Hour)) }, 503,
+			[]string{"target: refused. ", "entry: failed. "},
+		},
+		{
+			"the target lost the answer", "/slots/1", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, nil, 502,
+			[]string{"target: failed. TargetFailed", "entry: failed. TargetFailed"},
+		},
+		{
+			"the target did not run it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Not-Run", "1"); w.WriteHeader(503) }, nil, 503,
+			[]string{"target: failed. Overloaded the target did not run it", "entry: failed. Overloaded"},
+		},
+		{
+			"the target failed it", "/slots/1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, nil, 500,
+			[]string{"target: ran.", "entry: answered."},
+		},
 		{"it crashed targets before", "/slots/1", nil, func(s *Sidecar) {
 			f := poison.Of("agenda", http.MethodPost, "/slots/1", "", nil)
 			s.poison.Apply(poison.Report{Condemned: []poison.Fingerprint{f}, ForgetAt: time.Now().Add(time.Minute)})
 		}, 503, []string{"target: refused. Poison", "entry: failed. Poison"}},
-		{"no answer by the deadline", "/slots/1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, nil, 504,
-			[]string{"target: failed. DeadlineExceeded", "entry: failed. DeadlineExceeded"}},
+		{
+			"no answer by the deadline", "/slots/1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, nil, 504,
+			[]string{"target: failed. DeadlineExceeded", "entry: failed. DeadlineExceeded"},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
