--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # Packages whose state is shared by several threads, tested with the race detector.
 RACE := ./core/admit ./core/attempt ./core/choice ./core/config ./core/dispatch ./core/idempotency \
-	./core/lease ./core/limit ./core/localtarget ./core/poison ./core/retry ./core/slowdown ./core/upload \
+	./core/lease ./core/limit ./core/localtarget ./core/poison ./core/retry ./core/roster ./core/slowdown ./core/upload \
 	./internal/daemon ./internal/logs ./internal/sidecar ./io/... ./platform
 
 test: test-plain test-race
