sidecar: log and measure what targets state about themselves

Change: platform reads Server-Limit and Server-Leaving; the daemon beside the target logs each change and exports target_rate_limit and target_requests_total. Nothing acts on them yet.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -40,6 +40,9 @@
 	Slowdown float64
 }
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // Response is the metadata in the header of a target's response.
 type Response struct {
 	// ID is the request that the response belongs to, or empty if not specified.
@@ -50,6 +53,11 @@
 	FromTarget bool
 	// NotExecuted is set if the target states that it did not run the request.
 	NotExecuted bool
+	// Leaving is set if the target states that it is about to stop.
+	Leaving bool
 	// Load is nil if the target reports none.
 	Load *Load
+	// RateLimit is the rate that the target takes from all daemons together, nil if it
+	// states none.
+	RateLimit *Rate
 }
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -14,11 +14,12 @@
 
 // meters are the metrics of the daemon.
 type meters struct {
-	set         *metrics.Set
-	targetDials *metrics.Counter
-	probes      *metrics.Counter
-	version     *metrics.Gauge
-	store       *dependency
+	set            *metrics.Set
+	targetDials    *metrics.Counter
+	targetRequests *metrics.Counter
+	probes         *metrics.Counter
+	version        *metrics.Gauge
+	store          *dependency
 }
 
 func (s *Sidecar) newMeters() meters {
@@ -30,13 +31,15 @@
 	gauge("pollenscale_attempts_active", s.activeAttempts.Load)
 	gauge("pollenscale_members", func() int64 { return int64(s.roster.Len()) })
 	gauge("pollenscale_target_slots", func() int64 { return int64(s.limit.Value()) })
+	set.NewGauge("pollenscale_target_rate_limit", s.statedRateLimit)
 	gauge("pollenscale_log_lines_omitted_total", func() int64 { return int64(s.omittedLines()) })
 	return meters{
-		set:         set,
-		targetDials: set.NewCounter("pollenscale_target_connections_total"),
-		probes:      set.NewCounter("pollenscale_target_probes_total"),
-		version:     set.NewGauge("pollenscale_config_version", nil),
-		store:       &dependency{name: "store"},
+		set:            set,
+		targetDials:    set.NewCounter("pollenscale_target_connections_total"),
+		targetRequests: set.NewCounter("pollenscale_target_requests_total"),
+		probes:         set.NewCounter("pollenscale_target_probes_total"),
+		version:        set.NewGauge("pollenscale_config_version", nil),
+		store:          &dependency{name: "store"},
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 	probeGroup      singleflight.Group
 	slowdownStarted chan struct{} // wakes probeWhileSlowed
 	askedForLoad    atomic.Bool   // the target has been asked once whether it reports its load
+	targetReport    targetReport
 
 	mu           sync.Mutex
 	peerPools    map[string]*http1.Pool
--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -76,7 +76,7 @@
 		return err
 	}
 	_, err = readResponse(r)
-	s.observeLoad(s.protocol.ReadAnswer(r.Status, r.Header).Load, s.now())
+	s.observeTarget(s.protocol.ReadAnswer(r.Status, r.Header))
 	return err
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -290,6 +290,7 @@
 	s.protocol.WriteRequest(a.header, exchange.ForwardedRequest{
 		ID: a.id, Deadline: a.params.deadline, Target: view.ID, Caller: a.params.caller,
 	}, now)
+	s.meters.targetRequests.Inc()
 	r, err := s.targetPool.Load().Do(ctx, &http1.Request{
 		Method: a.method, Target: a.uri, Host: a.host, Header: a.header, Body: a.body, Length: a.length,
 		AvoidIdle: !a.params.idempotent, Deadline: a.params.deadline.Add(responseMargin),
@@ -299,7 +300,7 @@
 		return nil, s.targetError(ctx, err)
 	}
 	meta := s.protocol.ReadAnswer(r.Status, r.Header)
-	s.observeLoad(meta.Load, s.now())
+	s.observeTarget(meta)
 	resp, err := readResponse(r)
 	if meta.NotExecuted {
 		if resp != nil {
