limit: keep the rate that a target states, for requests and probes

Cause: nothing read the limit. Health probes, which detect slowed-down targets up to 60 times a second, reach the target like requests and made up half of what it got. A daemon that restarts knew nothing of the limit, while the entries that its earlier process had told remain bound by it.

Change: limit.Rate is a token bucket at the daemon beside the target, the only one that can reach it, so that no share has to be dealt out between daemons. The queue starts a request only with a token; probes take one too. A target with a limit is not probed for slowdowns, and its load report shows the slots that it can use at the rate, so that entries turn to others. A process that the target has not answered yet probes it first and sends one request at a time until it does.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -97,6 +97,7 @@
 	Now func() time.Time
 
 	limit *limit.Limit
+	rate  *limit.Rate
 
 	mu             sync.Mutex
 	ranks          []*rank // in descending order of worth
@@ -121,10 +122,19 @@
 	err    *outcome.Error
 }
 
+// Option sets a property of a new Queue.
+type Option func(*Queue)
+
+// WithRate bounds the requests per second that start. By default they are unbounded.
+func WithRate(r *limit.Rate) Option { return func(q *Queue) { q.rate = r } }
+
 // New returns a queue with the ranks and weights of the service, whose concurrency
 // is bounded by l.
-func New(service *policy.Service, l *limit.Limit) *Queue {
-	q := &Queue{Now: time.Now, limit: l}
+func New(service *policy.Service, l *limit.Limit, options ...Option) *Queue {
+	q := &Queue{Now: time.Now, limit: l, rate: &limit.Rate{}}
+	for _, o := range options {
+		o(q)
+	}
 	q.SetPolicy(service)
 	return q
 }
@@ -207,11 +217,11 @@
 	q.sequence++
 	return fleet.Load{
 		Sequence:   q.sequence,
-		Slots:      fleet.Slots(q.limit.Value()),
+		Slots:      fleet.Slots(q.rate.Concurrency(q.limit.Value(), seconds(q.serviceTime))),
 		Running:    uint32(q.running + len(q.heldUntil)),
 		Queued:     uint32(q.queued),
-		WaitLow:    q.expectedWait(len(q.ranks)-1, q.ranks[len(q.ranks)-1].queued+1),
-		WaitUrgent: q.expectedWait(0, q.ranks[0].queued+1),
+		WaitLow:    q.expectedWait(len(q.ranks)-1, q.ranks[len(q.ranks)-1].queued+1, now),
+		WaitUrgent: q.expectedWait(0, q.ranks[0].queued+1, now),
 		Service:    seconds(q.serviceTime),
 		Pace:       q.pace.value(now),
 	}
@@ -234,7 +244,7 @@
 		return
 	}
 	weight := q.weight(r.Organisation)
-	begin := now.Add(q.expectedWait(position, t.rank.queuedAhead(r.Organisation, weight)+1))
+	begin := now.Add(q.expectedWait(position, t.rank.queuedAhead(r.Organisation, weight)+1, now))
 	if !r.StartBy.IsZero() && begin.After(r.StartBy) {
 		q.refuse(t, outcome.Overloaded, "no free slot", now)
 		return
@@ -321,8 +331,8 @@
 	return q.paused, q.queued
 }
 
-// free returns the number of free slots. A slot held after a failure is not free
-// until the expected service time of the failed request has passed.
+// free returns the number of requests that may start. A slot held after a failure is
+// not free until the expected service time of the failed request has passed.
 func (q *Queue) free(now time.Time) int {
 	over := 0
 	for over < len(q.heldUntil) && !q.heldUntil[over].After(now) {
@@ -334,9 +344,9 @@
 	}
 	free := q.limit.Value() - q.running - len(q.heldUntil)
 	if free == 0 && q.limit.AllowTrial(q.running, now) {
-		return 1
+		free = 1
 	}
-	return free
+	return min(free, q.rate.Available(now))
 }
 
 // holdSlot keeps the slot of a failed request occupied until the given time, so that
@@ -373,6 +383,7 @@
 	invariant.Check(t.state == submitted || t.state == queued, "admit_once", "start of a ticket that is %s", t.state)
 	t.state = granted
 	t.started = now
+	q.rate.Take(now)
 	q.pace.start(now, t.request.ServiceTime)
 	t.rank.observeStart(now.Sub(t.arrived), t.slack(), now)
 	q.running++
@@ -417,7 +428,7 @@
 // expectedWait estimates how long the n-th queued request of the rank at a position
 // waits for its slot. The rank gets the share of starts that the ranks above it
 // leave, but at least its floor.
-func (q *Queue) expectedWait(position, n int) time.Duration {
+func (q *Queue) expectedWait(position, n int, now time.Time) time.Duration {
 	slots := q.limit.Value()
 	pause := 0.0
 	if q.paused {
@@ -426,7 +437,7 @@
 		pause = max(q.pauseLength, minPause)
 	}
 	if q.running+len(q.heldUntil) < slots && q.queued == 0 {
-		return seconds(pause)
+		return max(seconds(pause), q.rate.Wait(1, now))
 	}
 	left := 1.0
 	above := 0
@@ -441,7 +452,7 @@
 	if k.floor > 0 {
 		ahead = min(ahead, float64(n)/k.floor)
 	}
-	return seconds(pause + perSlot*ahead)
+	return max(seconds(pause+perSlot*ahead), q.rate.Wait(ahead, now))
 }
 
 // refuseLate refuses queued requests that can no longer finish in time, from the end
@@ -451,7 +462,7 @@
 		k := q.ranks[i]
 		for k.queued > 0 {
 			t := k.last()
-			if t.canFinish(t.arrived, now.Add(q.expectedWait(i, k.queued))) {
+			if t.canFinish(t.arrived, now.Add(q.expectedWait(i, k.queued, now))) {
 				break
 			}
 			q.remove(t)
@@ -485,7 +496,7 @@
 	t.state = refused
 	err := outcome.New(outcome.NotRun, reason, detail)
 	position := slices.Index(q.ranks, t.rank)
-	err.RetryAt = now.Add(q.expectedWait(position, t.rank.queued+1))
+	err.RetryAt = now.Add(q.expectedWait(position, t.rank.queued+1, now))
 	q.decisions = append(q.decisions, decision{ticket: t, err: err})
 }
 
--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -89,16 +89,30 @@
 	return true
 }
 
+// ending says how a request that was granted a slot ended.
+type ending string
+
+const (
+	answered ending = "answered"
+	failed   ending = "failed"  // it ran, and failed or may have failed
+	rejected ending = "refused" // the target refused to run it
+	unsent   ending = "unsent"
+)
+
 // Release gives back the slot after the target answered.
-func (t *Ticket) Release() { t.finish(true, true) }
+func (t *Ticket) Release() { t.finish(answered) }
 
 // Fail gives back the slot after the request failed at the target.
-func (t *Ticket) Fail() { t.finish(true, false) }
+func (t *Ticket) Fail() { t.finish(failed) }
+
+// ReleaseRefused gives back the slot after the target refused the request.
+func (t *Ticket) ReleaseRefused() { t.finish(rejected) }
 
-// ReleaseUnused gives back a slot in which no request ran.
-func (t *Ticket) ReleaseUnused() { t.finish(false, false) }
+// ReleaseUnused gives back a slot whose request was not sent to the target.
+func (t *Ticket) ReleaseUnused() { t.finish(unsent) }
 
-func (t *Ticket) finish(ran, ok bool) {
+func (t *Ticket) finish(e ending) {
+	ran, ok := e == answered || e == failed, e == answered
 	q := t.queue
 	now := q.Now()
 	q.mu.Lock()
@@ -108,6 +122,9 @@
 		return
 	}
 	t.state = released
+	if e == unsent {
+		q.rate.Return()
+	}
 	took := now.Sub(t.started)
 	q.pace.end(t.started, now, t.request.ServiceTime, ran && ok)
 	if ran {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -53,6 +53,8 @@
 	FromTarget bool
 	// NotExecuted is set if the target states that it did not run the request.
 	NotExecuted bool
+	// Misdirected is set if another target than the addressed one responded.
+	Misdirected bool
 	// Leaving is set if the target states that it is about to stop.
 	Leaving bool
 	// Load is nil if the target reports none.
--- /dev/null
+++ b/core/limit/rate_test.go
@@ -0,0 +1,72 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"pollenscale/core/exchange"
+	"pollenscale/core/limit"
+
+	"github.com/matryer/is"
+)
+
+// TestRateBoundsEverySpan guards against more requests in any four seconds than the
+// rate allows, also when the limit begins after idle time or changes.
+func TestRateBoundsEverySpan(t *testing.T) {
+	const span, step = 4 * time.Second, 10 * time.Millisecond
+	for _, rate := range []exchange.Rate{0, 0.4, 1, 7.5, 200} {
+		var r limit.Rate
+		start := time.Unix(1000, 0)
+		r.State(rate, start)
+		var sent []time.Time
+		for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(step) {
+			if now.Sub(start) > 5*time.Second && now.Sub(start) < 6*time.Second {
+				continue // idle
+			}
+			r.State(rate, now)
+			for r.Available(now) > 0 {
+				r.Take(now)
+				sent = append(sent, now)
+			}
+		}
+		for i, first := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Before(first.Add(span)) {
+					n++
+				}
+			}
+			if allowed := 1.5*float64(rate)*span.Seconds() + 5; float64(n) > allowed {
+				t.Errorf("rate %g: %d requests in %s, allowed %g", rate, n, span, allowed)
+			}
+		}
+		if least := int(10 * float64(rate)); len(sent) < least {
+			t.Errorf("rate %g: %d requests in 11 s, expected at least %d", rate, len(sent), least)
+		}
+	}
+}
+
+// TestRateLift guards against a late response without a limit that lifts a limit stated
+// after it, and against a limit that is not lifted.
+func TestRateLift(t *testing.T) {
+	is := is.New(t)
+	var r limit.Rate
+	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+	is.True(r.Available(at(0)) > 1000)
+	r.State(2, at(100))
+	is.Equal(r.Available(at(100)), 0)
+	is.Equal(r.Wait(1, at(100)), 500*time.Millisecond)
+	is.Equal(r.Concurrency(9, 200*time.Millisecond), 1)
+	is.True(!r.Lift(at(90)))
+	is.Equal(r.Available(at(601)), 1)
+	r.Take(at(601))
+	is.Equal(r.Available(at(601)), 0)
+	r.Return()
+	is.Equal(r.Available(at(601)), 1)
+	is.True(r.Lift(at(110)))
+	is.Equal(r.Wait(5, at(601)), time.Duration(0))
+	r.State(0, at(700))
+	is.Equal(r.Wait(1, at(700)), time.Minute) // and not without end
+	r.Reset()
+	is.True(r.Available(at(701)) > 1000)
+}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -100,7 +100,7 @@
 }
 
 // replaceTarget resets what belonged to the previous incarnation of the target:
-// connections, the concurrency limit and the load reports.
+// connections, the concurrency limit, the rate limit and the load reports.
 func (s *Sidecar) replaceTarget(view localtarget.View) {
 	address := view.Address
 	if address == "" {
@@ -109,7 +109,7 @@
 	s.setTarget(address)
 	s.limit.ResetWarm()
 	s.slowdown.Reset()
-	s.askedForLoad.Store(false)
+	s.targetReport.reset()
 	s.queue.Resume()
 }
 
--- a/internal/sidecar/crashes_test.go
+++ b/internal/sidecar/crashes_test.go
@@ -69,7 +69,7 @@
 	s.localTarget.ApplyHeartbeat(localtarget.Heartbeat{ID: id, Service: "agenda", Born: 1, Sequence: 1, Slots: slots}, time.Now())
 	s.limit.SetSlots(slots)
 	s.limit.ResetWarm()
-	s.askedForLoad.Store(true)
+	s.targetReport.answered.Store(true)
 }
 
 func (s *Sidecar) runPath(ctx context.Context, path string) attemptResult {
--- a/internal/sidecar/ratelimit_test.go
+++ b/internal/sidecar/ratelimit_test.go
@@ -83,7 +83,7 @@
 		}, WithLog(slog.New(slog.DiscardHandler)))
 		s.config.SetIfNewer(config, nil)
 		s.registerTarget("i-1", 9)
-		s.askedForLoad.Store(false)
+		s.targetReport.answered.Store(false)
 		return s
 	}
 }
@@ -151,6 +151,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			target, start := startStatingTarget(t)
 			target.set(func() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,7 +68,6 @@
 	serviceTimes    worktime.Estimator
 	probeGroup      singleflight.Group
 	slowdownStarted chan struct{} // wakes probeWhileSlowed
-	askedForLoad    atomic.Bool   // the target has been asked once whether it reports its load
 	targetReport    targetReport
 
 	mu           sync.Mutex
@@ -122,7 +121,7 @@
 	s.chooser = choice.New(settings.Place)
 	s.roster = roster.New(s.id)
 	s.roster.OnChange = s.updateTargets
-	s.queue = admit.New(queueRanks(), s.limit)
+	s.queue = admit.New(queueRanks(), s.limit, admit.WithRate(&s.targetReport.rate))
 	s.poison = s.newPoisonList()
 	s.config.OnChange = s.configChanged
 	s.setTarget(settings.Target)
@@ -181,6 +180,9 @@
 	add(s.handleSignals)
 	add(func(ctx context.Context) error { return wait.Every(ctx, queueRefreshInterval, s.refreshQueue) })
 	add(func(ctx context.Context) error { return wait.Every(ctx, sweepInterval, s.sweep) })
+	add(func(ctx context.Context) error {
+		return wait.Every(ctx, rateRecheckInterval, func() { s.recheckRateLimit(ctx) })
+	})
 	add(func(ctx context.Context) error { return wait.Every(ctx, settingsCheckInterval, s.checkSettings) })
 	s.log.Info("daemon: started.", "daemon", s.id, "incarnation", s.incarnation(), "zone", settings.Place.AvailabilityZone)
 	err = group.Run()
--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -20,13 +20,14 @@
 )
 
 // observeLoad evaluates a load report of the target: it pauses the queue while the
-// target is slowed down.
+// target is slowed down. A target with a rate limit is not paused, since the probes
+// that would detect the end of the pause count as requests.
 func (s *Sidecar) observeLoad(l *exchange.Load, at time.Time) {
 	if l == nil {
 		return
 	}
 	s.slowdown.Observe(slowdown.Level(l.Slowdown), at)
-	if !s.slowdown.Slow() {
+	if !s.slowdown.Slow() || s.targetReport.limited() {
 		s.queue.Resume()
 		return
 	}
@@ -38,11 +39,10 @@
 }
 
 // slowedDown reports whether the target is slowed down now. It probes the target unless
-// a recent response contained its load. A new target is probed once to find out whether
-// it reports its load at all; one that does not, or that does not respond to the probe,
-// is assumed not to be slowed down.
+// a recent response contained its load. A target that does not report its load, or that
+// does not respond to the probe, is assumed not to be slowed down.
 func (s *Sidecar) slowedDown(ctx context.Context) bool {
-	if !s.slowdown.Reported() && !s.askedForLoad.CompareAndSwap(false, true) {
+	if !s.slowdown.Reported() || s.targetReport.limited() {
 		return false
 	}
 	if !s.slowdown.Fresh(s.now()) {
@@ -60,13 +60,15 @@
 }
 
 func (s *Sidecar) sendProbe(ctx context.Context) error {
-	service := s.config.Current().Service(s.localTarget.View().Service)
+	view := s.localTarget.View()
+	service := s.config.Current().Service(view.Service)
 	if service == nil || service.HealthPath == "" {
 		return nil
 	}
 	sent := s.now()
 	pool := s.targetPool.Load()
 	s.meters.probes.Inc()
+	s.targetReport.rate.Take(sent)
 	r, err := pool.Do(context.WithoutCancel(ctx), &http1.Request{
 		Method: http.MethodGet, Target: service.HealthPath, Host: pool.Address(), Deadline: sent.Add(probeTimeout),
 	})
@@ -76,7 +78,7 @@
 		return err
 	}
 	_, err = readResponse(r)
-	s.observeTarget(s.protocol.ReadAnswer(r.Status, r.Header))
+	s.observeTarget(view, s.protocol.ReadAnswer(r.Status, r.Header), sent)
 	return err
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -164,6 +164,12 @@
 		s.logRefusal(a, result.err)
 		return nil, result
 	}
+	done, result := s.contactTarget(ctx)
+	if result.err != nil {
+		s.logRefusal(a, result.err)
+		return nil, result
+	}
+	defer done()
 	ticket, result := s.acquireSlot(ctx, a)
 	if result.err != nil {
 		s.logRefusal(a, result.err)
@@ -198,6 +204,8 @@
 	s.endRun(ctx, run, result)
 	s.meters.phase("target", took)
 	switch {
+	case result.refusedByTarget:
+		ticket.ReleaseRefused()
 	case result.err != nil && result.err.Outcome == outcome.NotRun:
 		ticket.ReleaseUnused()
 	case result.err != nil || resp.status >= http.StatusInternalServerError:
@@ -300,7 +308,7 @@
 		return nil, s.targetError(ctx, err)
 	}
 	meta := s.protocol.ReadAnswer(r.Status, r.Header)
-	s.observeTarget(meta)
+	s.observeTarget(view, meta, now)
 	resp, err := readResponse(r)
 	if meta.NotExecuted {
 		if resp != nil {
--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -1,51 +1,130 @@
 package sidecar
 
 import (
-	"sync"
+	"context"
+	"sync/atomic"
+	"time"
 
 	"pollenscale/core/exchange"
+	"pollenscale/core/limit"
+	"pollenscale/core/localtarget"
+	"pollenscale/core/outcome"
 )
 
-// targetReport holds what the target has stated about itself in its latest responses.
+const (
+	// contactInterval is the minimum time between two probes of a target that has not
+	// answered yet.
+	contactInterval = 100 * time.Millisecond
+	// rateRecheckInterval is the time after which a target that has stated a rate limit
+	// is probed if it gets no requests, whose responses would tell whether it still
+	// does.
+	rateRecheckInterval = 4 * time.Second
+)
+
+// targetReport holds what the target has stated about itself in its responses to this
+// process.
 type targetReport struct {
-	mu        sync.Mutex
-	rateLimit *exchange.Rate
-	leaving   bool
+	rate limit.Rate
+	// answered is set once the target has answered this process.
+	answered atomic.Bool
+	leaving  atomic.Bool
+	// contacting is set while a request is in progress at a target that has not
+	// answered yet.
+	contacting atomic.Bool
+	// contactedAt is when the target was last probed for its first answer, in Unix
+	// nanoseconds.
+	contactedAt atomic.Int64
 }
 
-// observeTarget evaluates the metadata of a response of the target, to a request or to
-// a probe.
-func (s *Sidecar) observeTarget(meta exchange.Response) {
-	s.observeLoad(meta.Load, s.now())
-	r := &s.targetReport
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !equalRates(r.rateLimit, meta.RateLimit) {
-		r.rateLimit = meta.RateLimit
-		if meta.RateLimit != nil {
-			s.log.Info("target: rate limit stated.", "target", s.localTarget.View().ID, "limit", *meta.RateLimit)
-		} else {
-			s.log.Info("target: rate limit lifted.", "target", s.localTarget.View().ID)
+// reset forgets the statements of an earlier incarnation of the target.
+func (r *targetReport) reset() {
+	r.rate.Reset()
+	r.answered.Store(false)
+	r.leaving.Store(false)
+	r.contactedAt.Store(0)
+}
+
+// limited reports whether the target states a rate limit.
+func (r *targetReport) limited() bool {
+	_, limited := r.rate.Value()
+	return limited
+}
+
+// observeTarget evaluates the metadata of a response, to a request or a probe that was
+// sent at the given time to the target in view. Responses that do not prove that they
+// come from that incarnation are ignored.
+func (s *Sidecar) observeTarget(view localtarget.View, meta exchange.Response, sent time.Time) {
+	now := s.now()
+	if current := s.localTarget.View(); current.ID != view.ID || current.Born != view.Born || !answersFor(meta, view) {
+		return
+	}
+	s.targetReport.answered.Store(true)
+	s.observeRateLimit(view, meta.RateLimit, sent, now)
+	s.observeLoad(meta.Load, now)
+	if meta.Leaving && s.targetReport.leaving.CompareAndSwap(false, true) {
+		s.log.Info("target: states that it leaves.", "target", view.ID)
+	}
+}
+
+// answersFor reports whether the response comes from the target in view.
+func answersFor(meta exchange.Response, view localtarget.View) bool {
+	return meta.FromTarget || meta.NotExecuted && !meta.Misdirected || meta.Target == view.ID
+}
+
+func (s *Sidecar) observeRateLimit(view localtarget.View, rate *exchange.Rate, sent, now time.Time) {
+	r := &s.targetReport.rate
+	if rate == nil {
+		if r.Lift(sent) {
+			s.log.Info("target: rate limit lifted.", "target", view.ID)
 		}
+		return
 	}
-	if meta.Leaving && !r.leaving {
-		s.log.Info("target: states that it leaves.", "target", s.localTarget.View().ID)
+	if old, limited := r.Value(); !limited || old != *rate {
+		s.log.Info("target: rate limit stated.", "target", view.ID, "limit", *rate)
 	}
-	r.leaving = meta.Leaving
+	r.State(*rate, now)
+	s.queue.Resume()
 }
 
-func equalRates(a, b *exchange.Rate) bool {
-	return a == b || a != nil && b != nil && *a == *b
+// contactTarget makes sure that the target has answered this process before it gets
+// requests: an earlier process may have passed on that it states a rate limit or leaves,
+// and callers rely on it. While the target answers no probe, it gets one request at a
+// time. The caller calls done when the request has ended.
+func (s *Sidecar) contactTarget(ctx context.Context) (done func(), result attemptResult) {
+	r := &s.targetReport
+	done = func() {}
+	if r.answered.Load() {
+		return done, attemptResult{}
+	}
+	now := s.now()
+	if last := r.contactedAt.Load(); now.Sub(time.Unix(0, last)) >= contactInterval {
+		s.probe(ctx)
+		r.contactedAt.CompareAndSwap(last, now.UnixNano())
+	}
+	if r.answered.Load() {
+		return done, attemptResult{}
+	}
+	if r.contacting.CompareAndSwap(false, true) {
+		return func() { r.contacting.Store(false) }, attemptResult{}
+	}
+	err := outcome.New(outcome.NotRun, outcome.Overloaded, "the target has not answered this daemon yet")
+	err.RetryAt = now.Add(contactInterval)
+	return done, attemptResult{err: err}
+}
+
+// recheckRateLimit probes a target whose rate limit has not been stated recently.
+func (s *Sidecar) recheckRateLimit(ctx context.Context) {
+	if s.targetReport.rate.StatedBefore(s.now().Add(-rateRecheckInterval)) {
+		s.probe(ctx)
+	}
 }
 
 // statedRateLimit returns the rate limit of the target in requests per second, -1 if it
 // states none.
 func (s *Sidecar) statedRateLimit() float64 {
-	r := &s.targetReport
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.rateLimit == nil {
+	rate, limited := s.targetReport.rate.Value()
+	if !limited {
 		return -1
 	}
-	return float64(*r.rateLimit)
+	return float64(rate)
 }
