sidecar: stop using a target that states in a response that it leaves

Callers would see: requests at a target that has already told them that it leaves, when its announcement on the control address is late or lost, or when the daemon beside it restarts in between and knows nothing of it.

Cause: same class as the rate limit: what a target states in its responses binds every entry that passed them on, while only the announcement to one daemon was acted on, and that daemon forgets it when it restarts.

Change: the target's daemon takes such a response, also to its first probe after a restart, as the departure of that incarnation. Entries remember it for the incarnation, also across a restart of that daemon.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -66,6 +66,10 @@
 	unreachableSince time.Time
 	probeAt          time.Time
 	probeInterval    time.Duration // between probeAt and the probe after it
+	// leftTarget and leftBorn identify the incarnation of the target that has stated
+	// to callers of this daemon that it leaves.
+	leftTarget exchange.TargetID
+	leftBorn   int64
 	// lastSeen is when a message of the daemon last arrived or its record changed.
 	lastSeen time.Time
 	// lastWatching is when the daemon last announced that it watches the store for
@@ -183,6 +187,26 @@
 	return reachable
 }
 
+// MarkLeaving records that the target of a process of a daemon has stated that it leaves.
+// It gets no more requests, also if the daemon restarts and does not know that.
+func (r *Roster) MarkLeaving(id fleet.DaemonID, i fleet.Incarnation) {
+	r.mu.Lock()
+	m := r.members[id]
+	marked := m != nil && m.record.Incarnation == i && m.record.Target != "" && !m.targetLeaves()
+	if marked {
+		m.leftTarget, m.leftBorn = m.record.Target, m.record.Born
+	}
+	r.mu.Unlock()
+	if marked {
+		r.OnChange()
+	}
+}
+
+// targetLeaves reports whether the target in the record has stated that it leaves.
+func (m *member) targetLeaves() bool {
+	return m.leftTarget != "" && m.leftTarget == m.record.Target && m.leftBorn == m.record.Born
+}
+
 // DueProbes returns the announce addresses of the unreachable daemons that are due
 // for a probe, and schedules their next one.
 func (r *Roster) DueProbes() []string {
@@ -255,10 +279,14 @@
 		if rec.Target == "" || m.unreachable {
 			continue
 		}
+		state := rec.State
+		if m.targetLeaves() && state.TakesWork() {
+			state = fleet.Draining
+		}
 		out = append(out, fleet.Target{
 			Daemon: rec.Daemon, Incarnation: rec.Incarnation, PeerAddress: rec.PeerAddress,
 			GossipAddress: rec.AnnounceAddress, Place: rec.Place, Service: rec.Service,
-			State: rec.State, Slots: rec.Slots,
+			State: state, Slots: rec.Slots,
 		})
 	}
 	return out
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -43,6 +43,26 @@
 	is.True(other != relay && other != "")
 }
 
+// TestLeavingTargetReturns guards against requests to a target that has stated that it
+// leaves, because its daemon restarts and takes it for a serving one.
+func TestLeavingTargetReturns(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("own")
+	rec := roster.Record{Daemon: "d1", Incarnation: 1, PeerAddress: "p", Target: "i-1", Born: 5, State: fleet.Serving}
+	state := func() fleet.State { return r.Targets()[0].State }
+	r.Merge(rec)
+	r.MarkLeaving("d1", 0) // another process
+	is.Equal(state(), fleet.Serving)
+	r.MarkLeaving("d1", 1)
+	is.Equal(state(), fleet.Draining)
+	rec.Incarnation = 2
+	is.True(r.Merge(rec))
+	is.Equal(state(), fleet.Draining)
+	rec.Incarnation, rec.Born = 3, 6
+	is.True(r.Merge(rec))
+	is.Equal(state(), fleet.Serving)
+}
+
 // TestUnreachable guards against requests that are sent to an unreachable daemon as
 // probes, and against a daemon that stays excluded although it is back.
 func TestUnreachable(t *testing.T) {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, s.peerError(ctx, to, err)
 	}
+	if s.protocol.ReadAnswer(resp.status, resp.header).Leaving && !honourLeaving.Off() {
+		s.roster.MarkLeaving(to.Daemon, to.Incarnation)
+	}
 	resp.serviceTime, _ = readWork(r.Header)
 	return resp, attemptResult{}
 }
--- a/internal/sidecar/mechanisms.go
+++ b/internal/sidecar/mechanisms.go
@@ -7,6 +7,7 @@
 	retryOnlyIfNotRun        = mutant.New("sidecar/repeat-only-if-not-run")
 	checkTargetService       = mutant.New("sidecar/service-at-target")
 	refuseWhenDrained        = mutant.New("sidecar/refuse-when-drained")
+	honourLeaving            = mutant.New("sidecar/leaving-in-responses")
 	restoreDrain             = mutant.New("sidecar/restore-drain")
 	exceedEarlierIncarnation = mutant.New("sidecar/outlive-earlier-process")
 )
--- a/internal/sidecar/ratelimit_test.go
+++ b/internal/sidecar/ratelimit_test.go
@@ -78,6 +78,7 @@
 	is.New(t).NoErr(err)
 	return target, func() *Sidecar {
 		s := New(Settings{ListenPeers: "127.0.0.1:1", Target: server.Listener.Addr().String()}, Protocol{
+			ReadRequest:  func(http.Header, time.Time) exchange.Request { return exchange.Request{} },
 			WriteRequest: func(http.Header, exchange.ForwardedRequest, time.Time) {},
 			ReadAnswer:   readStatements,
 		}, WithLog(slog.New(slog.DiscardHandler)))
--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -27,7 +27,6 @@
 	rate limit.Rate
 	// answered is set once the target has answered this process.
 	answered atomic.Bool
-	leaving  atomic.Bool
 	// contacting is set while a request is in progress at a target that has not
 	// answered yet.
 	contacting atomic.Bool
@@ -40,7 +39,6 @@
 func (r *targetReport) reset() {
 	r.rate.Reset()
 	r.answered.Store(false)
-	r.leaving.Store(false)
 	r.contactedAt.Store(0)
 }
 
@@ -61,8 +59,8 @@
 	s.targetReport.answered.Store(true)
 	s.observeRateLimit(view, meta.RateLimit, sent, now)
 	s.observeLoad(meta.Load, now)
-	if meta.Leaving && s.targetReport.leaving.CompareAndSwap(false, true) {
-		s.log.Info("target: states that it leaves.", "target", view.ID)
+	if meta.Leaving {
+		s.observeLeaving(view, now)
 	}
 }
 
@@ -86,6 +84,16 @@
 	s.queue.Resume()
 }
 
+// observeLeaving ends the use of a target that states in a response that it leaves. Its
+// announcement on the control address may be late or lost.
+func (s *Sidecar) observeLeaving(view localtarget.View, now time.Time) {
+	if honourLeaving.Off() || s.localTarget.Leave(view.ID, view.Born, now) != localtarget.Changed {
+		return
+	}
+	s.log.Info("target: states that it leaves.", "target", view.ID, "born", view.Born)
+	s.recordChanged()
+}
+
 // contactTarget makes sure that the target has answered this process before it gets
 // requests: an earlier process may have passed on that it states a rate limit or leaves,
 // and callers rely on it. While the target answers no probe, it gets one request at a
