http1: bound the head of a response

Callers would see: a daemon killed for its memory, with all requests in progress, when the target beside it or another daemon sends bytes without a line end or header fields without end.

Cause: net/http reads the lines of a response head without a bound unless its own transport sets one. Only the deadline of the request ended that, up to seconds at the speed of the link.

Change: a connection reads at most 64 KB while a head is incomplete. Bodies were bounded by the deadline and are passed on in pieces.

--- a/internal/sidecar/fetch.go
+++ b/internal/sidecar/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -21,8 +22,13 @@
 	}
 }
 
-// fetchTimeout limits a call that reads the state of another daemon.
-const fetchTimeout = time.Second
+const (
+	// fetchTimeout limits a call that reads the state of another daemon.
+	fetchTimeout = time.Second
+	// maxSnapshotBytes limits a snapshot: 4,000 records of 400 bytes, and a
+	// configuration in base64.
+	maxSnapshotBytes = 8 << 20
+)
 
 // snapshot is the state that a daemon sends to another one on request.
 type snapshot struct {
@@ -103,7 +109,7 @@
 		return err
 	}
 	var got snapshot
-	err = json.NewDecoder(r).Decode(&got)
+	err = json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(&got)
 	if err = errors.CombineErrors(err, r.Close()); err != nil {
 		return err
 	}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -95,6 +95,7 @@
 type conn struct {
 	net.Conn
 	pool     *Pool
+	limiter  *headLimiter // below reader
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	requests int
@@ -178,7 +179,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return nil, false, err
 	}
-	head, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	head, err = c.nextHead(r)
 	if err != nil || head.StatusCode != http.StatusContinue {
 		return head, false, err
 	}
@@ -302,7 +303,7 @@
 // readHead reads responses until one matches the request.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	for range maxResponses {
-		head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		head, err := c.nextHead(r)
 		if err != nil {
 			return nil, err
 		}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -95,9 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
+	limiter := &headLimiter{source: nc}
 	return &conn{
-		Conn: nc, pool: p,
-		reader: bufio.NewReaderSize(nc, connBufferBytes), writer: bufio.NewWriterSize(nc, connBufferBytes),
+		Conn: nc, pool: p, limiter: limiter,
+		reader: bufio.NewReaderSize(limiter, connBufferBytes), writer: bufio.NewWriterSize(nc, connBufferBytes),
 	}, nil
 }
 
