--- a/core/store/store.go
+++ b/core/store/store.go
@@ -35,6 +35,11 @@
 // Version is the version of a row. It increases with each write; 0 means absent.
 type Version uint64
 
+// Era counts how often the store has come back from an older copy of itself. Writes of an
+// earlier era may be lost although they were acknowledged, and versions that were given
+// out then are given out again. It is 0 if the store does not report it.
+type Era uint64
+
 // Row is the result of a read. A row that does not exist has version 0.
 type Row struct {
 	Table   Table
@@ -50,6 +55,7 @@
 	Rows []Row
 	// Version is the version from which the next watch continues.
 	Version Version
+	Era     Era
 }
 
 // Condition requires a row to have exactly this version; 0 requires that the row is
@@ -83,6 +89,7 @@
 	Versions []Version
 	// Conflicts are the current rows whose conditions were not met.
 	Conflicts []Row
+	Era       Era
 }
 
 // Tables is the table service.
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -96,6 +96,9 @@
 // to continue.
 func (s *Sidecar) awaitConfig(ctx context.Context, after store.Version) (store.Version, bool) {
 	changes, err := s.tables.Watch(ctx, s.protocol.ConfigTable, after, s.now().Add(watchTimeout))
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		s.observeEra(changes.Era)
+	}
 	if errors.Is(err, store.ErrCompacted) {
 		return s.readConfig(ctx)
 	}
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -32,6 +32,7 @@
 	gauge("pollenscale_members", func() int64 { return int64(s.roster.Len()) })
 	gauge("pollenscale_target_slots", func() int64 { return int64(s.limit.Value()) })
 	set.NewGauge("pollenscale_target_rate_limit", s.statedRateLimit)
+	gauge("pollenscale_store_era", func() int64 { return int64(s.storeEra.value()) })
 	gauge("pollenscale_log_lines_omitted_total", func() int64 { return int64(s.omittedLines()) })
 	return meters{
 		set:            set,
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -126,6 +126,7 @@
 		return false
 	}
 	s.meters.store.reportRegained(s.log)
+	s.observeEra(result.Era)
 	if !result.Committed {
 		s.resolveConflict(result.Conflicts)
 		return false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,6 +75,7 @@
 	retryBudgets map[fleet.Service]*retry.FleetBudget
 
 	publisher      publisher
+	storeEra       storeEra
 	fetchRequests  chan fetchRequest // newer state to be read from other daemons
 	watching       atomic.Bool       // this daemon watches the store for changes
 	startedAt      time.Time
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"pollenscale/standin/rowstore"
+
 	"golang.org/x/sync/errgroup"
 )
 
@@ -43,7 +45,7 @@
 	dir     string
 	binary  string
 	prefix  string // first three numbers of the VMs' addresses
-	store   *tableStore
+	store   *rowstore.Store
 	ledger  *ledger
 	vms     []*vm
 	version int
@@ -153,7 +155,7 @@
 		"version": fmt.Sprintf("%08x", s.version), "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
 	})
-	s.store.put("op", "config", data)
+	s.store.Put("op", "config", data)
 	return err
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 	// The program under test, so that a cached result is not taken for that of
 	// changed code.
 	_ "pollenscale/platform"
+	"pollenscale/standin/rowstore"
 )
 
 var (
@@ -58,7 +59,7 @@
 	defer cancel()
 	group := &errgroup.Group{}
 	s := &site{
-		ctx: ctx, group: group, dir: t.TempDir(), binary: binary, store: newStore(), ledger: newLedger(),
+		ctx: ctx, group: group, dir: t.TempDir(), binary: binary, store: rowstore.New(), ledger: newLedger(),
 		prefix: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, seed%250),
 	}
 	listener, err := listen(s.prefix + ".250:8309")
@@ -92,9 +93,8 @@
 	time.Sleep(2 * time.Second)
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	t.Logf("seed %d: %v, %d store calls", seed, s.ledger.counts, s.store.calls)
+	calls := s.store.Calls(rowstore.Get) + s.store.Calls(rowstore.Feed) + s.store.Calls(rowstore.Transact)
+	t.Logf("seed %d: %v, %d store calls", seed, s.ledger.counts, calls)
 	for i, v := range s.ledger.violations {
 		if i < 10 {
 			t.Error(v)
@@ -198,7 +198,7 @@
 	if err := faults.Wait(); err != nil {
 		s.ledger.violate("the harness failed: %v", err)
 	}
-	s.store.set(false, false, 0)
+	s.store.SetOutage(rowstore.Outage{})
 }
 
 // fault plays one fault. Faults of processes and of the target of one VM take turns.
@@ -219,13 +219,13 @@
 		v.signal(syscall.SIGHUP)
 		return s.configure()
 	case 4:
-		s.store.set(true, false, 0)
+		s.store.SetOutage(rowstore.Outage{Busy: true})
 		time.Sleep(length)
-		s.store.set(false, false, 0)
+		s.store.SetOutage(rowstore.Outage{})
 	case 5:
-		s.store.set(false, true, 0)
+		s.store.SetOutage(rowstore.Outage{Silent: true})
 		time.Sleep(length)
-		s.store.set(false, false, 0.3)
+		s.store.SetOutage(rowstore.Outage{Lose: 0.3})
 	case 6:
 		return v.exclusively(func() error {
 			v.target.leave()
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"pollenscale/standin/rowstore"
 )
 
 const (
@@ -198,7 +200,7 @@
 		return
 	}
 	if lost {
-		hangUp(w)
+		rowstore.HangUp(w)
 		return
 	}
 	w.Header().Set("X-Pollenscale-Response-Stamp", "stamp-"+id)
