sidecar: watch from the version of the store, not of the row

Cause: a watch began at the version of the configuration's row. The copy has no history before its own version, so the store answered 410, the daemon read the row again, and began at the same version. Any other loss of history, such as a compaction, has the same effect when the configuration has not changed since.

--- a/core/store/store.go
+++ b/core/store/store.go
@@ -58,6 +58,15 @@
 	Era     Era
 }
 
+// Snapshot is a row at the moment of a version of the store.
+type Snapshot struct {
+	Row Row
+	// Version is the version from which a watch continues. It is that of the store: the
+	// history since the version of the row may no longer be available.
+	Version Version
+	Era     Era
+}
+
 // Condition requires a row to have exactly this version; 0 requires that the row is
 // absent.
 type Condition struct {
@@ -101,6 +110,9 @@
 	// List returns up to limit rows whose key has the prefix and is greater than
 	// after, sorted by key.
 	List func(ctx context.Context, table Table, prefix, after string, limit int) ([]Row, error)
+	// Snapshot reads a row together with the version from which Watch continues. It is
+	// nil if the store does not support watches.
+	Snapshot func(context.Context, Table, string) (Snapshot, error)
 	// Watch waits for changes after a version and returns them. It returns no changes
 	// if there are none by the given time. It is nil if the store does not support
 	// watches.
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -79,17 +79,17 @@
 
 // readConfig reads the configuration row and returns the version after which to watch.
 func (s *Sidecar) readConfig(ctx context.Context) (store.Version, bool) {
-	row, _, err := s.tables.Read(ctx, s.protocol.ConfigTable, s.protocol.ConfigKey)
+	read, err := s.tables.Snapshot(ctx, s.protocol.ConfigTable, s.protocol.ConfigKey)
 	if err != nil {
 		s.meters.store.reportLost(s.log, err)
 		return 0, false
 	}
 	s.meters.store.reportRegained(s.log)
-	if row.Version == 0 {
-		return 0, true
+	s.observeEra(read.Era)
+	if read.Row.Version != 0 {
+		s.offerConfig(read.Row.Value, "store")
 	}
-	s.offerConfig(row.Value, "store")
-	return row.Version, true
+	return read.Version, true
 }
 
 // awaitConfig waits for changes after the version and returns the version after which
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -42,18 +42,18 @@
 	id       string
 }
 
-func freePort(t *testing.T, network string) string {
-	t.Helper()
-	if network == "udp4" {
-		c, err := net.ListenPacket(network, "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		defer c.Close()
-		return c.LocalAddr().String()
+// hosts counts the loopback addresses in use. Each daemon has its own, so that its ports
+// are free.
+var hosts int
+
+func newSettings() sidecar.Settings {
+	hosts++
+	host := fmt.Sprintf("127.240.%d.%d:", os.Getpid()%250, hosts)
+	return sidecar.Settings{
+		Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}, Service: "agenda", Target: host + "8301",
+		ListenCallers: host + "8304", ListenPeers: host + "8300", ListenReady: host + "8302",
+		ListenControl: host + "8306", ListenMetrics: host + "9464", ListenAnnounce: host + "7620",
 	}
-	l, err := net.Listen(network, "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // startDaemons starts daemons of one availability zone that use the store, and waits
@@ -71,11 +71,7 @@
 	})
 	var daemons []daemon
 	for range n {
-		s := sidecar.Settings{
-			Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}, Service: "agenda", Target: freePort(t, "tcp4"),
-			ListenCallers: freePort(t, "tcp4"), ListenPeers: freePort(t, "tcp4"), ListenReady: freePort(t, "tcp4"),
-			ListenControl: freePort(t, "tcp4"), ListenMetrics: freePort(t, "tcp4"), ListenAnnounce: freePort(t, "udp4"),
-		}
+		s := newSettings()
 		tables := platform.NewStoreClient(server.Listener.Addr().String()).Tables()
 		v := sidecar.New(s, platform.Protocol("absent"), sidecar.WithTables(tables), sidecar.WithLog(slog.New(slog.DiscardHandler)))
 		group.Go(func() error { return v.Run(ctx) })
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -36,6 +36,10 @@
 			ListenCallers: freeAddress(t), ListenPeers: freeAddress(t), ListenReady: freeAddress(t), ListenControl: freeAddress(t), ListenAnnounce: "127.0.0.1:0", ListenMetrics: metrics,
 		}
 		tables := memstore.New().Tables()
+		tables.Snapshot = func(ctx context.Context, table store.Table, key string) (store.Snapshot, error) {
+			row, _, err := tables.Read(ctx, table, key)
+			return store.Snapshot{Row: row, Version: row.Version}, err
+		}
 		tables.Watch = func(ctx context.Context, _ store.Table, _ store.Version, _ time.Time) (store.Changes, error) {
 			<-ctx.Done()
 			return store.Changes{}, ctx.Err()
