sidecar: let versions and acknowledgements expire with the era of the store

Operators would see: a configuration that is not in force in time after the store has come back from a copy, because its row got a version that had been given out before; a daemon that restarts and does not know a drain that it had acknowledged; daemons that joined shortly before the copy and stay unknown to new ones for two minutes.

Cause: a version from which changes are watched, and the acknowledgement of the own record, were taken as lasting for ever. After a copy is restored, versions are given out again and acknowledged rows may be gone.

Change: each version and acknowledgement belongs to the era in which the store gave it. Records between daemons carry the era, so that those that do not call the store learn of it. An acknowledgement that arrives after the era has risen counts as none.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -45,12 +45,12 @@
 		if read || s.config.Current() != nil {
 			s.awaitWatcherRole(ctx)
 		}
-		version, ok := s.readConfig(ctx)
+		at, ok := s.readConfig(ctx)
 		if ok {
 			read, pause = true, minStoreRetryDelay
 		}
 		for ok && s.updateWatching() && wait.For(ctx, watchSpacing) {
-			version, ok = s.awaitConfig(ctx, version)
+			at, ok = s.awaitConfig(ctx, at)
 		}
 		s.watching.Store(false)
 		if !wait.For(ctx, jittered(pause)) {
@@ -77,36 +77,47 @@
 	}
 }
 
-// readConfig reads the configuration row and returns the version after which to watch.
-func (s *Sidecar) readConfig(ctx context.Context) (store.Version, bool) {
+// position is a version of the store, which is valid within one era.
+type position struct {
+	version store.Version
+	era     store.Era
+}
+
+// readConfig reads the configuration row and returns the position after which to watch.
+func (s *Sidecar) readConfig(ctx context.Context) (position, bool) {
 	read, err := s.tables.Snapshot(ctx, s.protocol.ConfigTable, s.protocol.ConfigKey)
 	if err != nil {
 		s.meters.store.reportLost(s.log, err)
-		return 0, false
+		return position{}, false
 	}
 	s.meters.store.reportRegained(s.log)
 	s.observeEra(read.Era)
 	if read.Row.Version != 0 {
 		s.offerConfig(read.Row.Value, "store")
 	}
-	return read.Version, true
+	return position{version: read.Version, era: read.Era}, true
 }
 
-// awaitConfig waits for changes after the version and returns the version after which
-// to continue.
-func (s *Sidecar) awaitConfig(ctx context.Context, after store.Version) (store.Version, bool) {
-	changes, err := s.tables.Watch(ctx, s.protocol.ConfigTable, after, s.now().Add(watchTimeout))
+// awaitConfig waits for changes after the position and returns the position after which
+// to continue. In another era it reads the row again.
+func (s *Sidecar) awaitConfig(ctx context.Context, after position) (position, bool) {
+	within, cancel := s.storeEra.within(ctx)
+	defer cancel()
+	if s.storeEra.value() > after.era {
+		return s.readConfig(ctx)
+	}
+	changes, err := s.tables.Watch(within, s.protocol.ConfigTable, after.version, s.now().Add(watchTimeout))
 	if err == nil || errors.Is(err, store.ErrCompacted) {
 		s.observeEra(changes.Era)
 	}
-	if errors.Is(err, store.ErrCompacted) {
+	if errors.Is(err, store.ErrCompacted) || s.storeEra.value() > after.era {
 		return s.readConfig(ctx)
 	}
 	if err != nil {
 		if ctx.Err() == nil {
 			s.meters.store.reportLost(s.log, err)
 		}
-		return 0, false
+		return position{}, false
 	}
 	s.meters.store.reportRegained(s.log)
 	for _, row := range changes.Rows {
@@ -114,7 +125,7 @@
 			s.offerConfig(row.Value, "store")
 		}
 	}
-	return max(changes.Version, after), true
+	return position{version: max(changes.Version, after.version), era: after.era}, true
 }
 
 // offerConfig applies a configuration if it is valid and newer than the current one.
--- a/internal/sidecar/mechanisms.go
+++ b/internal/sidecar/mechanisms.go
@@ -9,5 +9,6 @@
 	refuseWhenDrained        = mutant.New("sidecar/refuse-when-drained")
 	honourLeaving            = mutant.New("sidecar/leaving-in-responses")
 	restoreDrain             = mutant.New("sidecar/restore-drain")
+	expireWithEra            = mutant.New("sidecar/expire-with-era")
 	exceedEarlierIncarnation = mutant.New("sidecar/outlive-earlier-process")
 )
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -33,7 +33,7 @@
 )
 
 func (s *Sidecar) ownMessage() announce.Message {
-	return announce.Message{From: s.ownRecord(), Version: s.config.Version(), Watching: s.watching.Load()}
+	return announce.Message{From: s.ownRecord(), Version: s.config.Version(), Era: s.storeEra.value(), Watching: s.watching.Load()}
 }
 
 // handleMessage merges the record in a datagram and follows up on it: it passes the
@@ -47,6 +47,9 @@
 	if m.Purpose != announce.Relayed {
 		s.roster.MarkReachable(m.From.Daemon)
 	}
+	if m.Era > 0 {
+		s.observeEra(m.Era)
+	}
 	alone := s.roster.Len() <= 1
 	newProcess := !s.roster.Knows(m.From.Daemon, m.From.Incarnation)
 	newer := s.roster.Merge(m.From)
@@ -81,8 +84,8 @@
 func (s *Sidecar) updateTargets() { s.chooser.SetTargets(s.roster.Targets()) }
 
 // maintainMembers publishes the own record and reads the records of the other daemons
-// when the daemon starts, then reads all records periodically and sends the own record
-// to some daemons in between. The own record is written before the others are read: of
+// when the daemon starts, then reads all records periodically, and when the store has
+// come back from an older copy, and sends the own record to some daemons in between. The own record is written before the others are read: of
 // two daemons that start at the same time, the one that writes later finds the other.
 func (s *Sidecar) maintainMembers(ctx context.Context) error {
 	for pause := minStoreRetryDelay; !s.writeRecord(ctx) || !s.readMembers(ctx); pause = min(2*pause, maxStoreRetryDelay) {
@@ -93,9 +96,12 @@
 	}
 	s.joined.Store(true)
 	s.announceRecord()
-	next := s.now().Add(jittered(reconcileInterval))
+	next, era := s.now().Add(jittered(reconcileInterval)), s.storeEra.value()
 	for round := 0; wait.For(ctx, jittered(announceInterval)); round++ {
 		s.announceRound(round)
+		if current := s.storeEra.value(); current > era {
+			next, era = s.now().Add(jittered(rewriteTime)), current
+		}
 		if s.now().Before(next) {
 			continue
 		}
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -118,6 +118,33 @@
 	is.Equal(row.Version, store.Version(0))
 }
 
+// TestAcknowledgementOfEarlierEra guards against a record that counts as written although
+// the store has come back from an older copy since it acknowledged the record.
+func TestAcknowledgementOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	tables := memstore.New().Tables()
+	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{})
+	s.observeEra(1)
+	transact, writes := tables.Transact, 0
+	tables.Transact = func(ctx context.Context, t store.Transaction) (store.Result, error) {
+		writes++
+		result, err := transact(ctx, t)
+		result.Era = store.Era(writes)
+		s.observeEra(2) // another daemon has learned of it
+		return result, err
+	}
+	s.tables = tables
+	written := s.recordChanged()
+	is.True(!s.tryWriteRecord(t.Context()))
+	select {
+	case <-written:
+		t.Error("acknowledged in an earlier era")
+	default:
+	}
+	is.True(s.writeRecord(t.Context())) // after a conflict with the lost write
+	<-written
+}
+
 // TestPublishOnce guards against two concurrent writers of the own record, one at the
 // start and one after a change, that both report the same changes as written.
 func TestPublishOnce(t *testing.T) {
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -42,11 +42,16 @@
 	s.publisher.waiters = append(s.publisher.waiters, written)
 	s.publisher.mu.Unlock()
 	s.announceRecord()
+	s.wakePublisher()
+	return written
+}
+
+// wakePublisher makes publishChanges write the own record.
+func (s *Sidecar) wakePublisher() {
 	select {
 	case s.publisher.wake <- struct{}{}:
 	default:
 	}
-	return written
 }
 
 // announceRecord sends the own record to the other daemons.
@@ -82,7 +87,8 @@
 	}
 }
 
-// publishChanges writes the own record to the store whenever it changes.
+// publishChanges writes the own record to the store whenever it changes or may have been
+// lost.
 func (s *Sidecar) publishChanges(ctx context.Context) error {
 	for {
 		select {
@@ -131,6 +137,9 @@
 		s.resolveConflict(result.Conflicts)
 		return false
 	}
+	if result.Era < s.storeEra.value() {
+		return false // committed before the store came back from an older copy
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(result.Versions) > 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,7 +75,7 @@
 	retryBudgets map[fleet.Service]*retry.FleetBudget
 
 	publisher      publisher
-	storeEra       storeEra
+	storeEra       *storeEra
 	fetchRequests  chan fetchRequest // newer state to be read from other daemons
 	watching       atomic.Bool       // this daemon watches the store for changes
 	startedAt      time.Time
@@ -108,6 +108,7 @@
 		retryBudgets:    make(map[fleet.Service]*retry.FleetBudget),
 		fetchRequests:   make(chan fetchRequest, 4),
 		slowdownStarted: make(chan struct{}, 1),
+		storeEra:        newStoreEra(),
 	}
 	for _, o := range options {
 		o(s)
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -15,6 +15,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/roster"
 	"pollenscale/core/route"
+	"pollenscale/core/store"
 	"pollenscale/core/wait"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +65,8 @@
 	From roster.Record `json:",omitzero"`
 	// Version is the version of the configuration in force at the sender.
 	Version route.Version `json:",omitempty"`
+	// Era is the latest era of the store that the sender has learned of.
+	Era store.Era `json:",omitempty"`
 	// About is the daemon whose record is acknowledged. By is the sender of a
 	// datagram without a record.
 	About fleet.DaemonID `json:",omitempty"`
