sidecar: reject requests that outlive a stopping daemon

Callers saw: a connection closed without an answer, 5.6 s after the daemon's SIGTERM, for requests that they had sent up to 4.8 s after it.

Cause: a stopping daemon took every request until its process ended, also those whose deadline came later. Clients still come when fewer than half of a zone's daemons are ready.

Change: from SIGTERM on, a request whose deadline is after the end of the process is rejected as not run, before its body is read.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -156,6 +156,13 @@
 	idlePollInterval = 20 * time.Millisecond
 )
 
+// stopAt begins the shutdown, which ends at the given time at the latest. Requests with
+// a later deadline are rejected from then on, so that none is cut off.
+func (s *Sidecar) stopAt(end time.Time) {
+	s.stopsAt.Store(&end)
+	s.stopping.Store(true)
+}
+
 // shutdown waits until the daemon can stop without interrupting requests: it publishes
 // that the daemon is leaving, serves open connections until the clients have left, and
 // lets requests in progress complete.
@@ -163,7 +170,7 @@
 	begun := s.now()
 	grace := s.settings.Load().GracePeriod
 	end := begun.Add(grace - shutdownMargin)
-	s.stopping.Store(true)
+	s.stopAt(end)
 	s.recordChanged()
 	for s.now().Before(end) {
 		busy := s.activeRequests.Load() > 0 || s.activeAttempts.Load() > 0
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -106,6 +106,9 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(q.deadline) {
 		q.deadline = q.Deadline
 	}
+	if end := s.stopsAt.Load(); end != nil && q.deadline.After(*end) {
+		return nil, http.StatusServiceUnavailable, "the daemon stops before the deadline of the request"
+	}
 	if limit := config.Limits.BodyBytes; limit > 0 {
 		if r.ContentLength > limit {
 			return nil, http.StatusRequestEntityTooLarge, "body too large"
--- a/internal/sidecar/failurelog_test.go
+++ b/internal/sidecar/failurelog_test.go
@@ -92,6 +92,14 @@
 	}{
 		{"no configuration", "/slots/1", nil, func(s *Sidecar) { s.config = route.Holder{} }, 503, []string{"entry: rejected. no configuration yet"}},
 		{"no route", "/other/", nil, nil, 404, []string{"entry: rejected. no route"}},
+		{
+			"the daemon stops before the deadline", "/slots/1", nil, func(s *Sidecar) { s.stopAt(time.Now().Add(200 * time.Millisecond)) }, 503,
+			[]string{"entry: rejected. the daemon stops before the deadline of the request"},
+		},
+		{
+			"the daemon stops after the deadline", "/slots/1", nil, func(s *Sidecar) { s.stopAt(time.Now().Add(2 * time.Second)) }, 200,
+			[]string{"target: ran.", "entry: answered."},
+		},
 		{
 			"no target", "/slots/1", nil, func(s *Sidecar) { s.roster.OnChange = func() {}; s.chooser.SetTargets(nil) }, 503,
 			[]string{"entry: failed. NoTarget"},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -81,6 +81,7 @@
 	startedAt      time.Time
 	joined         atomic.Bool // the records of the other daemons have been read
 	stopping       atomic.Bool
+	stopsAt        atomic.Pointer[time.Time] // when requests in progress are cut off, nil unless stopping
 	activeRequests atomic.Int64 // requests in progress that callers sent to this daemon
 	activeAttempts atomic.Int64 // attempts in progress at the target
 	meters         meters
