sidecar: notice a restored store also during a pause between watches

Operators would see: after a second copy was restored within 200 ms of the first reads, no daemon noticed it until the next change, up to 25 s later.

Cause: a watch that begins after the store has come back gets no response until something changes, and a response is what shows the era. TestRecordLostByRestore failed 6 of 12 times with four test processes at a time and once in a whole run of the package: the era rose a second time while all daemons paused between two watches.

Change: the first watch after a pause waits 1 s at most. One that ends without changes is followed by the next without a pause, so that a restored store resets it.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -18,6 +18,10 @@
 	// watchTimeout is how long one call waits for a new configuration. The store allows
 	// 30 s.
 	watchTimeout = 25 * time.Second
+	// firstWatchTimeout is how long the first call after a pause waits. If the store has
+	// come back from an older copy during the pause, only a response shows it, and
+	// changes may have versions before the one being watched.
+	firstWatchTimeout = time.Second
 	// maxConfigBytes limits a configuration that is read from another daemon.
 	maxConfigBytes = 4 << 20
 )
@@ -49,7 +53,7 @@
 		if ok {
 			read, pause = true, minStoreRetryDelay
 		}
-		for ok && s.updateWatching() && wait.For(ctx, watchSpacing) {
+		for ok && s.updateWatching() && (at.unchanged || wait.For(ctx, watchSpacing)) {
 			at, ok = s.awaitConfig(ctx, at)
 		}
 		s.watching.Store(false)
@@ -81,6 +85,9 @@
 type position struct {
 	version store.Version
 	era     store.Era
+	// unchanged is set if the last call that waited for changes has returned none, so
+	// that the next one follows without a pause.
+	unchanged bool
 }
 
 // readConfig reads the configuration row and returns the position after which to watch.
@@ -106,7 +113,11 @@
 	if s.storeEra.value() > after.era {
 		return s.readConfig(ctx)
 	}
-	changes, err := s.tables.Watch(within, s.protocol.ConfigTable, after.version, s.now().Add(watchTimeout))
+	until := s.now().Add(firstWatchTimeout)
+	if after.unchanged {
+		until = s.now().Add(watchTimeout)
+	}
+	changes, err := s.tables.Watch(within, s.protocol.ConfigTable, after.version, until)
 	if err == nil || errors.Is(err, store.ErrCompacted) {
 		s.observeEra(changes.Era)
 	}
@@ -125,7 +136,10 @@
 			s.offerConfig(row.Value, "store")
 		}
 	}
-	return position{version: max(changes.Version, after.version), era: after.era}, true
+	return position{
+		version: max(changes.Version, after.version), era: after.era,
+		unchanged: len(changes.Rows) == 0 && s.now().After(until.Add(-watchSpacing)),
+	}, true
 }
 
 // offerConfig applies a configuration if it is valid and newer than the current one.
