sidecar: no share of the extra retries without the others' records

Callers would see: more retries than the fleet may make, when daemons restart while the store is unavailable.

The extra retries are a promise summed over all daemons, and each daemon divides them by the number of daemons that it knows.

Change: until the records have been read, a daemon retries by the ratio of its own requests only.

Result: TestExtraRetriesWithoutRecords failed before and passes.

--- a/internal/sidecar/dispatch_test.go
+++ b/internal/sidecar/dispatch_test.go
@@ -10,6 +10,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/outcome"
+	"pollenscale/core/retry"
 	"pollenscale/core/roster"
 	"pollenscale/core/route"
 
@@ -55,6 +56,23 @@
 	is.Equal(second.Target.Daemon, fleet.DaemonID("far"))
 }
 
+// TestExtraRetriesWithoutRecords guards against daemons that restart while the store is
+// unavailable, take themselves for the only one, and together use many times the extra
+// retries of the fleet.
+func TestExtraRetriesWithoutRecords(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{ListenPeers: "127.0.0.1:1", RetryBudget: retry.FleetLimits{Ratio: 0.2, ExtraRetries: 58, Window: 10 * time.Second}}, Protocol{})
+	s.roster.Merge(s.ownRecord())
+	is.True(!s.retryBudget("agenda").Allow())
+	for range 10 {
+		s.retryBudget("agenda").RecordRequest()
+	}
+	is.True(s.retryBudget("agenda").Allow()) // by the ratio
+	is.True(!s.retryBudget("agenda").Allow())
+	s.joined.Store(true)
+	is.True(s.retryBudget("agenda").Allow())
+}
+
 // TestMayRetry guards against a request that is sent again after it may have run
 // although it is not idempotent, and against more attempts than the route allows.
 func TestMayRetry(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -82,8 +83,8 @@
 	joined         atomic.Bool // the records of the other daemons have been read
 	stopping       atomic.Bool
 	stopsAt        atomic.Pointer[time.Time] // when requests in progress are cut off, nil unless stopping
-	activeRequests atomic.Int64 // requests in progress that callers sent to this daemon
-	activeAttempts atomic.Int64 // attempts in progress at the target
+	activeRequests atomic.Int64              // requests in progress that callers sent to this daemon
+	activeAttempts atomic.Int64              // attempts in progress at the target
 	meters         meters
 }
 
@@ -346,12 +347,22 @@
 	defer s.mu.Unlock()
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = retry.NewFleetBudget(s.settings.Load().RetryBudget, s.roster.Len)
+		b = retry.NewFleetBudget(s.settings.Load().RetryBudget, s.budgetShares)
 		s.retryBudgets[service] = b
 	}
 	return b
 }
 
+// budgetShares returns the number of daemons among which the extra retries of the fleet
+// are divided. A daemon that has not read the records of the others does not know their
+// number and uses none of the extra retries.
+func (s *Sidecar) budgetShares() int {
+	if !s.joined.Load() {
+		return math.MaxInt
+	}
+	return s.roster.Len()
+}
+
 // asOutcomeError returns err as an outcome error; any other error means that the
 // outcome is unknown.
 func asOutcomeError(err error) *outcome.Error {
