soak: restored stores, rate limits, departures stated in responses only

Change: three more faults. The store comes back from the copy that it had up to 1.8 s before; a target states a rate limit for six seconds and checks rule LIMIT with its probes; a target leaves and says so in its responses only, which rule DRAIN then binds.

The check of LIMIT does not excuse machines that restart, which the users' rule would.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -40,16 +40,17 @@
 
 // site is a fleet of real daemons with stand-ins for everything around them.
 type site struct {
-	ctx     context.Context
-	group   *errgroup.Group
-	dir     string
-	binary  string
-	prefix  string // first three numbers of the VMs' addresses
-	store   *rowstore.Store
-	ledger  *ledger
-	vms     []*vm
-	version int
-	quiet   atomic.Bool // callers have stopped
+	ctx      context.Context
+	group    *errgroup.Group
+	dir      string
+	binary   string
+	prefix   string // first three numbers of the VMs' addresses
+	store    *rowstore.Store
+	ledger   *ledger
+	vms      []*vm
+	configMu sync.Mutex
+	version  int
+	quiet    atomic.Bool // callers have stopped
 }
 
 // vm is a machine with a daemon process and a target.
@@ -140,7 +141,16 @@
 
 // configure writes the next version of the configuration.
 func (s *site) configure() error {
+	s.configMu.Lock()
 	s.version += 1 + rand.IntN(3)
+	s.configMu.Unlock()
+	return s.writeConfig()
+}
+
+// writeConfig writes the current version of the configuration.
+func (s *site) writeConfig() error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	routes := []map[string]any{}
 	for i, service := range services {
 		routes = append(routes,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,8 +36,8 @@
 var regressions = []uint64{}
 
 // TestSoak guards against broken promises while processes are stopped, paused,
-// killed and restarted, targets drain, crash and lose answers, the configuration
-// changes, the store is away, and connections between daemons and to the store are
+// killed and restarted, targets drain, crash, lose answers and state rate limits, the
+// configuration changes, the store is away or comes back from an older copy, and connections between daemons and to the store are
 // delayed, reset, cut one way and silenced, alone and overlapping.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "sidecar")
@@ -191,7 +191,7 @@
 		i := rng.IntN(len(s.vms))
 		v := s.vms[i]
 		length := time.Duration(300+rng.IntN(1500)) * time.Millisecond
-		kind := rng.IntN(15)
+		kind := rng.IntN(18)
 		faults.Go(func() error { return s.fault(v, kind, length) })
 		time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
 	}
@@ -246,12 +246,37 @@
 		v.target.lose = 0
 		v.target.mu.Unlock()
 	}
-	if kind > 8 {
+	switch {
+	case kind == 15:
+		return s.restoreStore(length)
+	case kind == 16:
+		v.target.limitFor(limitLength)
+	case kind == 17: // its announcements are late, only its responses state that it leaves
+		return v.exclusively(func() error {
+			v.target.leaveUnannounced()
+			return v.replaceTarget()
+		})
+	case kind > 8:
 		v.disturbLinks(kind, length)
 	}
 	return nil
 }
 
+// limitLength is how long a target states a rate limit, longer than the span of the rule.
+const limitLength = 6 * time.Second
+
+// restoreStore takes the store away for a moment and brings it back from the copy that it
+// had some time before. The operator then writes its configuration again.
+func (s *site) restoreStore(age time.Duration) error {
+	copied := s.store.Version()
+	time.Sleep(age)
+	s.store.SetOutage(rowstore.Outage{Busy: true})
+	time.Sleep(age / 8)
+	s.store.Restore(copied)
+	s.store.SetOutage(rowstore.Outage{})
+	return s.writeConfig()
+}
+
 // disturbLinks plays a fault of the connections between the daemon and the other
 // daemons or the store.
 func (v *vm) disturbLinks(kind int, length time.Duration) {
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -40,6 +40,68 @@
 	ackedAt  time.Time // when the daemon acknowledged the drain
 	slow     bool
 	lose     float64 // share of the runs whose answer is lost
+	limited  bool    // states rateLimit and counts arrivals
+	// arrivals are those of requests and probes since firstStated.
+	arrivals    []time.Time
+	firstStated time.Time
+}
+
+const (
+	// rateLimit is the rate that a limited target states, in requests per second.
+	rateLimit = 8
+	// rateSpan, rateFactor and rateSlack are those of the users' rule LIMIT.
+	rateSpan   = 4 * time.Second
+	rateFactor = 1.5
+	rateSlack  = 5
+)
+
+// limitFor makes the target state its rate limit for a while, and checks that it gets no
+// more than the rule allows in any span that begins half a second after the first
+// statement.
+func (t *appTarget) limitFor(d time.Duration) {
+	t.mu.Lock()
+	if t.limited {
+		t.mu.Unlock()
+		return
+	}
+	t.limited, t.arrivals, t.firstStated = true, nil, time.Time{}
+	t.mu.Unlock()
+	time.Sleep(d)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limited = false
+	counted := t.arrivals
+	for len(counted) > 0 && counted[0].Sub(t.firstStated) < 500*time.Millisecond {
+		counted = counted[1:]
+	}
+	for i := range counted {
+		n := 0
+		for n < len(counted)-i && counted[i+n].Sub(counted[i]) < rateSpan {
+			n++
+		}
+		if allowed := rateFactor*rateLimit*rateSpan.Seconds() + rateSlack; float64(n) > allowed {
+			t.vm.site.ledger.violate("LIMIT: %s got %d requests in %s, allowed %g", t.id, n, rateSpan, allowed)
+			return
+		}
+	}
+}
+
+// state adds what the target states about itself.
+func (t *appTarget) state(h http.Header, arrived time.Time) {
+	if t.draining {
+		h.Set("Server-Leaving", "1")
+		if t.ackedAt.IsZero() {
+			t.ackedAt = arrived
+		}
+	}
+	if !t.limited {
+		return
+	}
+	h.Set("Server-Limit", fmt.Sprint(rateLimit))
+	if t.firstStated.IsZero() {
+		t.firstStated = arrived
+	}
+	t.arrivals = append(t.arrivals, arrived)
 }
 
 // startTarget starts a new incarnation beside the daemon of a VM.
@@ -96,6 +158,18 @@
 	t.stop()
 }
 
+// leaveUnannounced states in all responses that the target leaves, without a heartbeat
+// or a deregistration that arrives, and ends it. Requests later than the drain time after
+// the first such response break the rule.
+func (t *appTarget) leaveUnannounced() {
+	t.cancel()
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
+	time.Sleep(2*drain + 300*time.Millisecond)
+	t.stop()
+}
+
 func (t *appTarget) beat(ctx context.Context) error {
 	for ctx.Err() == nil {
 		t.mu.Lock()
@@ -158,6 +232,7 @@
 	id := r.Header.Get("X-Pollenscale-Try-Id")
 	t.mu.Lock()
 	t.load(w.Header())
+	t.state(w.Header(), arrived)
 	factor := time.Duration(1)
 	if t.slow {
 		factor = 5
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -101,6 +101,7 @@
 func (s *Store) Restore(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	version = min(version, s.version)
 	log := s.log
 	s.log, s.rows = nil, map[string]row{}
 	for _, r := range log {
