--- /dev/null
+++ b/internal/sidecar/listen.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// server is an HTTP server with its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+// listen opens the listeners of all interfaces. A metrics port that is taken is logged
+// and left out.
+func (s *Sidecar) listen(settings *Settings) ([]server, error) {
+	callers := &http.Server{
+		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: defaultHeaderTimeout,
+		MaxHeaderBytes: defaultHeaderBytes, IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true,
+	}
+	parts := []struct {
+		address string
+		server  *http.Server
+	}{
+		{settings.ListenCallers, callers},
+		{settings.ListenPeers, &http.Server{Handler: http.HandlerFunc(s.servePeer), IdleTimeout: peerIdleTimeout, ReadHeaderTimeout: defaultHeaderTimeout}},
+		{settings.ListenReady, &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: defaultHeaderTimeout}},
+		{settings.ListenControl, &http.Server{Handler: http.HandlerFunc(s.serveControl), ReadHeaderTimeout: defaultHeaderTimeout}},
+		{settings.ListenMetrics, &http.Server{Handler: http.HandlerFunc(s.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}},
+	}
+	var servers []server
+	for _, p := range parts {
+		listener, err := net.Listen("tcp4", p.address)
+		if err != nil && p.address == settings.ListenMetrics {
+			s.log.Error("daemon: no metrics.", "address", p.address, "error", err)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
+		servers = append(servers, server{Server: p.server, listener: listener})
+	}
+	return servers, nil
+}
+
+const (
+	// defaultHeaderTimeout and defaultHeaderBytes apply to each connection; the limits
+	// of the configuration are checked for each request.
+	defaultHeaderTimeout = 5 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	// callerIdleTimeout is longer than any idle timeout of a configuration, so that the
+	// daemon does not close a connection that a client still uses.
+	callerIdleTimeout = 75 * time.Second
+	// peerIdleTimeout is longer than daemons keep idle connections to each other.
+	peerIdleTimeout = 30 * time.Second
+)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,13 +9,8 @@
 	"context"
 	"log/slog"
 	"math"
-	"net"
-	"net/http"
-	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"pollenscale/core/admit"
@@ -132,12 +127,6 @@
 	return s
 }
 
-// server is an HTTP server with its listener.
-type server struct {
-	*http.Server
-	listener net.Listener
-}
-
 // Run serves until ctx ends or the process receives SIGTERM or SIGINT.
 func (s *Sidecar) Run(ctx context.Context) error {
 	settings := s.settings.Load()
@@ -233,92 +222,6 @@
 	}
 }
 
-func (s *Sidecar) listen(settings *Settings) ([]server, error) {
-	callers := &http.Server{
-		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes: defaultHeaderBytes, IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true,
-	}
-	parts := []struct {
-		address string
-		server  *http.Server
-	}{
-		{settings.ListenCallers, callers},
-		{settings.ListenPeers, &http.Server{Handler: http.HandlerFunc(s.servePeer), IdleTimeout: peerIdleTimeout, ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenReady, &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenControl, &http.Server{Handler: http.HandlerFunc(s.serveControl), ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenMetrics, &http.Server{Handler: http.HandlerFunc(s.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}},
-	}
-	var servers []server
-	for _, p := range parts {
-		listener, err := net.Listen("tcp4", p.address)
-		if err != nil && p.address == settings.ListenMetrics {
-			s.log.Error("daemon: no metrics.", "address", p.address, "error", err)
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
-		servers = append(servers, server{Server: p.server, listener: listener})
-	}
-	return servers, nil
-}
-
-const (
-	// defaultHeaderTimeout and defaultHeaderBytes apply to each connection; the limits
-	// of the configuration are checked for each request.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultHeaderBytes   = 64 << 10
-	// callerIdleTimeout is longer than any idle timeout of a configuration, so that the
-	// daemon does not close a connection that a client still uses.
-	callerIdleTimeout = 75 * time.Second
-	// peerIdleTimeout is longer than daemons keep idle connections to each other.
-	peerIdleTimeout = 30 * time.Second
-)
-
-// handleSignals reloads the settings on SIGHUP and shuts the daemon down on SIGTERM and
-// SIGINT.
-func (s *Sidecar) handleSignals(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				s.reloadSettings()
-				continue
-			}
-			s.log.Info("daemon: stopping.", "signal", sig.String())
-			return s.shutdown(ctx)
-		}
-	}
-}
-
-// reloadSettings reads the settings and applies those that may change while the daemon
-// runs.
-func (s *Sidecar) reloadSettings() {
-	next, err := s.protocol.ReadSettings()
-	if err != nil {
-		s.log.Error("daemon: reading the settings failed; the previous ones remain in force.", "error", err)
-		return
-	}
-	old := s.settings.Swap(&next)
-	if next.Target != old.Target {
-		s.setTarget(next.Target)
-	}
-	s.log.Info("daemon: settings reloaded.", "service", next.Service, "target", next.Target)
-}
-
-// checkSettings reloads the settings if they have changed.
-func (s *Sidecar) checkSettings() {
-	if next, err := s.protocol.ReadSettings(); err == nil && !next.Equal(s.settings.Load()) {
-		s.reloadSettings()
-	}
-}
-
 // setTarget sets the address of the target beside the daemon and closes connections to
 // the previous address.
 func (s *Sidecar) setTarget(address string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,8 +37,9 @@
 
 // TestSoak guards against broken promises while processes are stopped, paused,
 // killed and restarted, targets drain, crash, lose answers and state rate limits, the
-// configuration changes, the store is away or comes back from an older copy, and connections between daemons and to the store are
-// delayed, reset, cut one way and silenced, alone and overlapping.
+// configuration changes, the store is away or comes back from an older copy, and
+// connections between daemons and to the store are delayed, reset, cut one way and
+// silenced, alone and overlapping.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "sidecar")
 	build := exec.Command("go", "build", "-o", binary, "pollenscale/cmd/sidecar")
