limit: bound the pressure in the test of the rate

Cause: with the mechanism switched off, the test sent without end and ended after 66 s.

Change: at most ten requests in each step of 10 ms, five times the highest rate; the bound that is checked is the same.

Result: passes; with limit/stated-rate switched off it fails after 4 s.

--- a/core/limit/rate_test.go
+++ b/core/limit/rate_test.go
@@ -13,7 +13,7 @@
 // TestRateBoundsEverySpan guards against more requests in any four seconds than the
 // rate allows, also when the limit begins after idle time or changes.
 func TestRateBoundsEverySpan(t *testing.T) {
-	const span, step = 4 * time.Second, 10 * time.Millisecond
+	const span, step, pressure = 4 * time.Second, 10 * time.Millisecond, 10
 	for _, rate := range []exchange.Rate{0, 0.4, 1, 7.5, 200} {
 		var r limit.Rate
 		start := time.Unix(1000, 0)
@@ -24,7 +24,7 @@
 				continue // idle
 			}
 			r.State(rate, now)
-			for r.Available(now) > 0 {
+			for n := 0; n < pressure && r.Available(now) > 0; n++ {
 				r.Take(now)
 				sent = append(sent, now)
 			}
