sidecar: accept responses of the store that state no era

Cause: found while reading the change. A response without an era, after one that stated it, would count as one of an earlier era: the record would be written and the configuration read again and again.

Change: such a response counts as one of the era that is known.

Result: TestResponseWithoutEra failed before and passes.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -102,7 +102,7 @@
 	if read.Row.Version != 0 {
 		s.offerConfig(read.Row.Value, "store")
 	}
-	return position{version: read.Version, era: read.Era}, true
+	return position{version: read.Version, era: s.eraOf(read.Era)}, true
 }
 
 // awaitConfig waits for changes after the position and returns the position after which
--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// eraOf returns the era in a response, or the one known if the response states none.
+func (s *Sidecar) eraOf(stated store.Era) store.Era {
+	if stated == 0 {
+		return s.storeEra.value()
+	}
+	return stated
+}
+
 // observeEra evaluates the era in a response of the store or in a message of another
 // daemon. When it rises, what the store has acknowledged before may be lost: the daemon
 // writes its record again, and stops waiting for changes after a version of the earlier
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -145,6 +145,17 @@
 	<-written
 }
 
+// TestResponseWithoutEra guards against a record that is written again and again because
+// a response of the store does not state its era.
+func TestResponseWithoutEra(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{}, WithTables(memstore.New().Tables()))
+	s.observeEra(2)
+	written := s.recordChanged()
+	is.True(s.writeRecord(t.Context()))
+	<-written
+}
+
 // TestPublishOnce guards against two concurrent writers of the own record, one at the
 // start and one after a change, that both report the same changes as written.
 func TestPublishOnce(t *testing.T) {
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -137,7 +137,7 @@
 		s.resolveConflict(result.Conflicts)
 		return false
 	}
-	if result.Era < s.storeEra.value() {
+	if s.eraOf(result.Era) < s.storeEra.value() {
 		return false // committed before the store came back from an older copy
 	}
 	p.mu.Lock()
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -13,7 +13,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/internal/sidecar"
 	"pollenscale/platform"
-	"pollenscale/standin/rowstore"
+	"pollenscale/platform/rowstore"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"pollenscale/standin/rowstore"
+	"pollenscale/platform/rowstore"
 
 	"golang.org/x/sync/errgroup"
 )
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,7 +22,7 @@
 	// The program under test, so that a cached result is not taken for that of
 	// changed code.
 	_ "pollenscale/platform"
-	"pollenscale/standin/rowstore"
+	"pollenscale/platform/rowstore"
 )
 
 var (
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"pollenscale/standin/rowstore"
+	"pollenscale/platform/rowstore"
 )
 
 const (
