--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -37,10 +37,11 @@
 	sequence int
 	running  int
 	draining bool
-	ackedAt  time.Time // when the daemon acknowledged the drain
-	slow     bool
-	lose     float64 // share of the runs whose answer is lost
-	limited  bool    // states rateLimit and counts arrivals
+	// ackedAt is when the daemon acknowledged the drain, or when a response first stated it.
+	ackedAt time.Time
+	slow    bool
+	lose    float64 // share of the runs whose answer is lost
+	limited bool    // states rateLimit and counts arrivals
 	// arrivals are those of requests and probes since firstStated.
 	arrivals    []time.Time
 	firstStated time.Time
