sidecar: close the listeners when one of them cannot be opened

The test took ports that were free and gave them back before the daemon opened them; another process took one of them in between. Run returned the error, but left open the listeners that it had opened before. A client's connection to the readiness port was then accepted by the kernel and never served: the test's request hung until the garbage collector closed the listener, and the next one was refused.

Change: listen closes what it has opened when a port is taken, and the socket for messages between daemons is opened last. Setting up the announcer moves out of Run.

--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // server is an HTTP server with its listener.
@@ -13,8 +15,8 @@
 	listener net.Listener
 }
 
-// listen opens the listeners of all interfaces. A metrics port that is taken is logged
-// and left out.
+// listen opens the listeners of all interfaces, or none if one of them cannot be opened. A
+// metrics port that is taken is logged and left out.
 func (s *Sidecar) listen(settings *Settings) ([]server, error) {
 	callers := &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: defaultHeaderTimeout,
@@ -38,7 +40,7 @@
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return nil, errors.CombineErrors(err, closeListeners(servers))
 		}
 		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
 		servers = append(servers, server{Server: p.server, listener: listener})
@@ -46,6 +48,15 @@
 	return servers, nil
 }
 
+// closeListeners closes the listeners of servers that do not serve.
+func closeListeners(servers []server) error {
+	var err error
+	for _, v := range servers {
+		err = errors.CombineErrors(err, v.listener.Close())
+	}
+	return err
+}
+
 const (
 	// defaultHeaderTimeout and defaultHeaderBytes apply to each connection; the limits
 	// of the configuration are checked for each request.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,7 @@
 	"pollenscale/io/announce"
 	"pollenscale/io/http1"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"golang.org/x/sync/singleflight"
 )
@@ -132,26 +133,20 @@
 	settings := s.settings.Load()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	announcer, err := announce.Listen(settings.ListenAnnounce)
+	servers, err := s.listen(settings)
 	if err != nil {
 		return err
 	}
-	s.announcer = announcer
-	announcer.LocalMessage = s.ownMessage
-	announcer.OnRecord = s.handleMessage
-	announcer.OnAlive = s.roster.MarkReachable
-	announcer.OnRelayFailure = s.substituteRelay
-	announcer.OnConfigVersion = s.noteConfigVersion
-	announcer.OnError = func(err error) { s.log.Debug("announce: socket or datagram error.", "error", err) }
+	announcer, err := announce.Listen(settings.ListenAnnounce)
+	if err != nil {
+		return errors.CombineErrors(err, closeListeners(servers))
+	}
+	s.setAnnouncer(announcer)
 
 	var group run.Group
 	add := func(f func(context.Context) error) {
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	servers, err := s.listen(settings)
-	if err != nil {
-		return err
-	}
 	for _, v := range servers {
 		group.Add(func() error { return v.Serve(v.listener) }, func(error) {
 			if err := v.Close(); err != nil {
@@ -186,6 +181,17 @@
 	return err
 }
 
+// setAnnouncer connects the daemon with the socket for messages to other daemons.
+func (s *Sidecar) setAnnouncer(a *announce.Node) {
+	s.announcer = a
+	a.LocalMessage = s.ownMessage
+	a.OnRecord = s.handleMessage
+	a.OnAlive = s.roster.MarkReachable
+	a.OnRelayFailure = s.substituteRelay
+	a.OnConfigVersion = s.noteConfigVersion
+	a.OnError = func(err error) { s.log.Debug("announce: socket or datagram error.", "error", err) }
+}
+
 const (
 	// queueRefreshInterval is how often the deadlines of queued requests are checked.
 	queueRefreshInterval = 20 * time.Millisecond
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,71 +1,78 @@
-package sidecar
+package sidecar_test
 
 import (
-	"context"
+	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
-	"pollenscale/core/store"
-	"pollenscale/standin/memstore"
+	"pollenscale/internal/sidecar"
+	"pollenscale/platform"
+	"pollenscale/platform/rowstore"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 )
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
+// occupy uses an address for TCP and UDP until the test ends.
+func occupy(t *testing.T, address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer l.Close()
-	return l.Addr().String()
+	is := is.New(t)
+	l, err := net.Listen("tcp4", address)
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	packets, err := net.ListenPacket("udp4", address)
+	is.NoErr(err)
+	t.Cleanup(func() { packets.Close() })
 }
 
 // TestMetricsPortTaken guards against a daemon that does not serve because another
-// process uses its metrics port, and against metrics that cannot be read.
+// process uses its metrics port.
 func TestMetricsPortTaken(t *testing.T) {
+	rows := rowstore.New()
+	putConfig(rows, 1)
+	settings := newSettings()
+	occupy(t, settings.ListenMetrics)
+	start(t, rows, settings) // until it is ready
+}
+
+// TestMetricsMissing guards against metrics that cannot be read.
+func TestMetricsMissing(t *testing.T) {
 	is := is.New(t)
-	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	rows := rowstore.New()
+	putConfig(rows, 1)
+	settings := newSettings()
+	start(t, rows, settings)
+	resp, err := http.Get("http://" + settings.ListenMetrics + "/metrics")
 	is.NoErr(err)
-	defer taken.Close()
-	for _, metrics := range []string{taken.Addr().String(), freeAddress(t)} {
-		settings := Settings{
-			ListenCallers: freeAddress(t), ListenPeers: freeAddress(t), ListenReady: freeAddress(t), ListenControl: freeAddress(t), ListenAnnounce: "127.0.0.1:0", ListenMetrics: metrics,
-		}
-		tables := memstore.New().Tables()
-		tables.Snapshot = func(ctx context.Context, table store.Table, key string) (store.Snapshot, error) {
-			row, _, err := tables.Read(ctx, table, key)
-			return store.Snapshot{Row: row, Version: row.Version}, err
-		}
-		tables.Watch = func(ctx context.Context, _ store.Table, _ store.Version, _ time.Time) (store.Changes, error) {
-			<-ctx.Done()
-			return store.Changes{}, ctx.Err()
-		}
-		s := New(settings, Protocol{ReadyPath: "/ready", ReadSettings: func() (Settings, error) { return settings, nil }}, WithTables(tables))
-		ctx, cancel := context.WithCancel(t.Context())
-		var group errgroup.Group
-		group.Go(func() error { return s.Run(ctx) })
-		var resp *http.Response
-		for range 100 {
-			if resp, err = http.Get("http://" + settings.ListenReady + "/ready"); err == nil {
-				break
+	text, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.True(strings.Contains(string(text), "pollenscale_members"))
+}
+
+// TestListenersLeftOpen guards against a daemon that cannot start because a port is taken
+// and leaves its other ports open: clients connect to them and wait without end.
+func TestListenersLeftOpen(t *testing.T) {
+	ports := []func(*sidecar.Settings) string{
+		func(s *sidecar.Settings) string { return s.ListenCallers },
+		func(s *sidecar.Settings) string { return s.ListenPeers },
+		func(s *sidecar.Settings) string { return s.ListenReady },
+		func(s *sidecar.Settings) string { return s.ListenControl },
+		func(s *sidecar.Settings) string { return s.ListenAnnounce },
+	}
+	for _, taken := range ports {
+		is := is.New(t)
+		settings := newSettings()
+		occupy(t, taken(&settings))
+		s := sidecar.New(settings, platform.Protocol("absent"), sidecar.WithLog(slog.New(slog.DiscardHandler)))
+		is.True(s.Run(t.Context()) != nil)
+		for _, port := range ports {
+			if port(&settings) != taken(&settings) {
+				occupy(t, port(&settings))
 			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		is.NoErr(err)
-		is.NoErr(resp.Body.Close())
-		if metrics != taken.Addr().String() {
-			resp, err = http.Get("http://" + metrics + "/metrics")
-			is.NoErr(err)
-			var text strings.Builder
-			is.NoErr(resp.Write(&text))
-			is.NoErr(resp.Body.Close())
-			is.True(strings.Contains(text.String(), "pollenscale_members"))
 		}
-		cancel()
-		is.NoErr(group.Wait())
+		occupy(t, settings.ListenMetrics)
 	}
 }
