sidecar: close responses without end whose body is not used

Cause: of the response to a health probe, to a crash report or to a query about an attempt, and of a success without proof of origin, the daemon reads 64 KB at the most and then did not close what was left. A peer that sends a body without end kept the connection, for a probe until the garbage collector closed it; up to 60 probes a second go to a slowed-down target.

Change: discardResponse ends a response whose body is not used.

Result: TestEndlessResponseUnread, three cases, failed before (connection open a second after the call) and passes.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -183,11 +183,7 @@
 	if result, ok := readOutcome(r.Header, s.now()); ok {
 		o = result.err.Outcome
 	}
-	resp, err := readResponse(r)
-	if err != nil {
-		return o, err
-	}
-	return o, resp.close()
+	return o, discardResponse(r)
 }
 
 // observeHeaders evaluates the load and the configuration version in a response of
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -107,8 +107,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = readResponse(r)
-	return err
+	return discardResponse(r)
 }
 
 // serveCrashReport applies the crash report of another daemon.
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -9,11 +9,19 @@
 	"testing"
 	"time"
 
+	"pollenscale/core/exchange"
 	"pollenscale/core/route"
 
 	"github.com/matryer/is"
 )
 
+// writeEndlessly writes a body until the connection is closed.
+func writeEndlessly(w http.ResponseWriter) {
+	piece := bytes.Repeat([]byte("x"), 4<<10)
+	for _, err := w.Write(piece); err == nil; _, err = w.Write(piece) {
+	}
+}
+
 // TestEndlessResponse guards against a response without end that reaches the caller as a
 // complete one, or that occupies the daemon after the deadline of the request or after
 // the caller has gone.
@@ -62,3 +70,45 @@
 		})
 	}
 }
+
+// TestEndlessResponseUnread guards against connections that stay open when a peer sends a
+// response without end whose body the daemon does not use.
+func TestEndlessResponseUnread(t *testing.T) {
+	config, err := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "agenda", HealthPath: "/health"}}})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name string
+		call func(*Sidecar, string)
+	}{
+		{"health probe", func(s *Sidecar, _ string) { s.probe(t.Context()) }},
+		{"response without proof of origin", func(s *Sidecar, _ string) { s.runPath(t.Context(), "/slots/1") }},
+		{"crash report", func(s *Sidecar, address string) {
+			if err := s.sendCrashReportTo(t.Context(), address, []byte("{}")); err != nil {
+				t.Error(err)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{})
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				defer close(ended)
+				writeEndlessly(w)
+			}))
+			defer peer.Close()
+			defer peer.CloseClientConnections()
+			protocol := testProtocol()
+			protocol.ReadAnswer = func(int, http.Header) exchange.Response { return exchange.Response{} }
+			address := peer.Listener.Addr().String()
+			s := New(Settings{ListenPeers: "127.0.0.1:1", Target: address}, protocol, WithLog(slog.New(slog.DiscardHandler)))
+			s.config.SetIfNewer(config, nil)
+			s.registerTarget("i-1", 1)
+			c.call(s, address)
+			select {
+			case <-ended:
+			case <-time.After(time.Second):
+				t.Error("the connection is open a second after the call")
+			}
+		})
+	}
+}
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -53,6 +53,16 @@
 	return resp, r.Close()
 }
 
+// discardResponse ends a response whose body is not used. The connection can be used
+// again unless the body is longer than maxBufferedBytes.
+func discardResponse(r *http1.Response) error {
+	resp, err := readResponse(r)
+	if err != nil {
+		return err
+	}
+	return resp.close()
+}
+
 // close discards a remainder that was not passed on.
 func (resp *response) close() error {
 	if resp.rest == nil {
--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -77,7 +77,7 @@
 		pool.CloseIdle()
 		return err
 	}
-	_, err = readResponse(r)
+	err = discardResponse(r)
 	s.observeTarget(view, s.protocol.ReadAnswer(r.Status, r.Header), sent)
 	return err
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -229,6 +229,9 @@
 		return nil, s.targetError(ctx, err)
 	}
 	if r.Status < http.StatusMultipleChoices && !meta.FromTarget {
+		if err := resp.close(); err != nil {
+			s.log.Debug("target: closing a response without proof of origin failed.", "error", err)
+		}
 		return nil, attemptResult{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
 	}
 	resp.serviceTime = s.now().Sub(now)
