sidecar: do not cut responses of more than 64 KB between daemons

What callers saw: a response of more than 64 KB from a target beside another daemon was cut off after its first part, always.

Cause: sendAttempt cancelled the context of its exchange when it returned. The rest of a long body, which is passed on afterwards, was cut with it.

Change: the exchange ends when the response is closed.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -47,10 +47,23 @@
 	return resp, result
 }
 
-// sendAttempt sends an attempt to the daemon beside its target.
+// sendAttempt sends an attempt to the daemon beside its target. The exchange ends when
+// the response is closed.
 func (s *Sidecar) sendAttempt(ctx context.Context, q *request, params attemptParams, to *fleet.Target, ref attempt.Ref) (*response, attemptResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	resp, result := s.exchangeAttempt(ctx, cancel, q, params, to, ref)
+	if resp == nil || resp.rest == nil {
+		cancel(nil)
+		return resp, result
+	}
+	resp.rest = &remainder{ReadCloser: resp.rest, end: func() { cancel(nil) }}
+	return resp, result
+}
+
+// exchangeAttempt sends an attempt and reads its response up to maxBufferedBytes.
+func (s *Sidecar) exchangeAttempt(
+	ctx context.Context, cancel context.CancelCauseFunc, q *request, params attemptParams, to *fleet.Target, ref attempt.Ref,
+) (*response, attemptResult) {
 	now := s.now()
 	header := q.header.Clone()
 	writeAttempt(header, ref)
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -23,50 +23,39 @@
 }
 
 // TestEndlessResponse guards against a response without end that reaches the caller as a
-// complete one, or that occupies the daemon after the deadline of the request or after
-// the caller has gone.
+// complete one, or that occupies a daemon after the deadline of the request or after the
+// caller has gone.
 func TestEndlessResponse(t *testing.T) {
-	const deadline = 400 * time.Millisecond // of testProtocol
+	const deadline = 400 * time.Millisecond
 	cases := []struct {
 		name        string
+		daemons     int
 		callerTakes int64 // bytes, then it closes the connection
 	}{
-		{"the caller reads on", 1 << 40},
-		{"the caller goes", 100 << 10},
+		{"the caller reads on", 1, 1 << 40},
+		{"the caller goes", 1, 100 << 10},
+		{"the caller of another daemon reads on", 2, 1 << 40},
+		{"the caller of another daemon goes", 2, 100 << 10},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			ended := make(chan time.Time, 1)
-			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				piece := bytes.Repeat([]byte("x"), 4<<10)
-				for _, err := w.Write(piece); err == nil; _, err = w.Write(piece) {
-				}
+			p := startPath(t, c.daemons, deadline, func(w http.ResponseWriter, _ *http.Request) {
+				writeEndlessly(w)
 				ended <- time.Now()
-			}))
-			defer target.Close()
-			s := New(Settings{ListenPeers: "127.0.0.1:1", Target: target.Listener.Addr().String()}, testProtocol(),
-				WithLog(slog.New(slog.DiscardHandler)))
-			s.config.SetIfNewer(slotsConfig(t, route.Safe), nil)
-			s.registerTarget("i-1", 1)
-			s.roster.Merge(s.ownRecord())
-			entry := httptest.NewServer(http.HandlerFunc(s.serveCaller))
-			defer entry.Close()
-			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.URL+"/slots/1", nil)
-			is.NoErr(err)
-			r.Host = "x"
+			})
 			start := time.Now()
-			resp, err := http.DefaultClient.Do(r)
-			is.NoErr(err)
+			resp := p.send(t)
 			taken, err := io.Copy(io.Discard, io.LimitReader(resp.Body, c.callerTakes))
 			is.True(err != nil || taken == c.callerTakes) // not complete
 			is.NoErr(resp.Body.Close())
 			end := <-ended
 			is.True(end.Sub(start) < deadline+time.Second)
-			for s.activeRequests.Load() > 0 && time.Since(start) < deadline+time.Second {
+			for p.active() > 0 && time.Since(start) < deadline+time.Second {
 				time.Sleep(10 * time.Millisecond)
 			}
-			is.Equal(s.activeRequests.Load(), int64(0))
+			is.Equal(p.active(), int64(0))
 		})
 	}
 }
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -23,13 +23,25 @@
 	// buffered is the body, or the first part of a large one.
 	buffered []byte
 	// rest is the remainder of a large body, nil for a small one.
-	rest *http1.Response
+	rest io.ReadCloser
 	// length is the length of the entire body, -1 if unknown.
 	length int64
 	// serviceTime is how long the target took, 0 if unknown.
 	serviceTime time.Duration
 }
 
+// remainder is the remainder of a body whose exchange has to be ended after its close.
+type remainder struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close closes the body and ends the exchange.
+func (r *remainder) Close() error {
+	defer r.end()
+	return r.ReadCloser.Close()
+}
+
 // readResponse reads the body up to maxBufferedBytes. It closes the response unless a
 // remainder is left.
 func readResponse(r *http1.Response) (*response, error) {
