soak: long responses and bytes without end

Cause: the soak's answers were 1 KB long and always ended, so that it saw neither responses of more than 64 KB being cut between daemons nor connections that stay open at a target that writes without end.

Change: one answer in eight is 136 KB long; a new fault answers some requests and probes with bytes without end (a line, a head, a body), which must be closed within 5 s; after the last fault no answer may be broken off. A target counts as having stated its limit or its departure only from a response that arrives: of a lost one the daemon learns nothing, and the users' rules count from a response that was passed on.

--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// brokenOff counts the answers that ended before they were complete.
+const brokenOff = "broken off"
+
+func (l *ledger) counted(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[name]
+}
+
 func (l *ledger) count(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -241,7 +241,7 @@
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
-		v.site.ledger.count("broken off")
+		v.site.ledger.count(brokenOff)
 		return false
 	}
 	v.site.ledger.answered(id, answer.StatusCode, answer.Header, string(body))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,6 +90,7 @@
 	if !s.serves(8 * time.Second) {
 		s.ledger.violate("RECOVER: fewer than nine in ten are served 8 s after the last fault")
 	}
+	s.checkCalm()
 	s.quiet.Store(true)
 	time.Sleep(2 * time.Second)
 	s.ledger.mu.Lock()
@@ -185,6 +186,33 @@
 	return false
 }
 
+// calmRequests is the number of requests from each VM after the last fault; one in eight
+// has a long answer.
+const calmRequests = 16
+
+// checkCalm sends requests from every VM after the last fault, and checks that no answer
+// is broken off.
+func (s *site) checkCalm() {
+	client := http.Client{Timeout: 2 * time.Second}
+	before := s.ledger.counted(brokenOff)
+	var callers errgroup.Group
+	callers.SetLimit(checkers)
+	for _, v := range s.vms {
+		callers.Go(func() error {
+			for range calmRequests {
+				v.send(s.ctx, &client)
+			}
+			return nil
+		})
+	}
+	if err := callers.Wait(); err != nil {
+		s.ledger.violate("the harness failed: %v", err)
+	}
+	if n := s.ledger.counted(brokenOff) - before; n > 0 {
+		s.ledger.violate("LOST: %d answers are broken off after the last fault", n)
+	}
+}
+
 // disturb injects faults in series; some last and overlap with the next ones.
 func (s *site) disturb(rng *rand.Rand) {
 	var faults errgroup.Group
@@ -192,7 +220,7 @@
 		i := rng.IntN(len(s.vms))
 		v := s.vms[i]
 		length := time.Duration(300+rng.IntN(1500)) * time.Millisecond
-		kind := rng.IntN(18)
+		kind := rng.IntN(19)
 		faults.Go(func() error { return s.fault(v, kind, length) })
 		time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
 	}
@@ -257,6 +285,8 @@
 			v.target.leaveUnannounced()
 			return v.replaceTarget()
 		})
+	case kind == 18:
+		v.target.answerEndlessly(length)
 	case kind > 8:
 		v.disturbLinks(kind, length)
 	}
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -41,6 +41,7 @@
 	ackedAt time.Time
 	slow    bool
 	lose    float64 // share of the runs whose answer is lost
+	endless float64 // share of the runs and probes that are answered with bytes without end
 	limited bool    // states rateLimit and counts arrivals
 	// arrivals are those of requests and probes since firstStated.
 	arrivals    []time.Time
@@ -71,6 +72,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limited = false
+	if t.firstStated.IsZero() {
+		return
+	}
 	counted := t.arrivals
 	for len(counted) > 0 && counted[0].Sub(t.firstStated) < 500*time.Millisecond {
 		counted = counted[1:]
@@ -87,11 +91,12 @@
 	}
 }
 
-// state adds what the target states about itself.
-func (t *appTarget) state(h http.Header, arrived time.Time) {
+// state adds what the target states about itself to a response. One that does not arrive
+// tells the daemon nothing.
+func (t *appTarget) state(h http.Header, arrived time.Time, arrives bool) {
 	if t.draining {
 		h.Set("Server-Leaving", "1")
-		if t.ackedAt.IsZero() {
+		if t.ackedAt.IsZero() && arrives {
 			t.ackedAt = arrived
 		}
 	}
@@ -99,7 +104,7 @@
 		return
 	}
 	h.Set("Server-Limit", fmt.Sprint(rateLimit))
-	if t.firstStated.IsZero() {
+	if t.firstStated.IsZero() && arrives {
 		t.firstStated = arrived
 	}
 	t.arrivals = append(t.arrivals, arrived)
@@ -233,7 +238,10 @@
 	id := r.Header.Get("X-Pollenscale-Try-Id")
 	t.mu.Lock()
 	t.load(w.Header())
-	t.state(w.Header(), arrived)
+	lost := rand.Float64() < t.lose
+	endless := rand.Float64() < t.endless
+	probed := r.URL.Path == "/health"
+	t.state(w.Header(), arrived, !endless && (probed || !lost))
 	factor := time.Duration(1)
 	if t.slow {
 		factor = 5
@@ -241,13 +249,15 @@
 	late := !t.ackedAt.IsZero() && arrived.Sub(t.ackedAt) > drain
 	expected := r.Header.Get("X-Pollenscale-Expect-Instance")
 	full := t.running >= slots
-	lost := rand.Float64() < t.lose
 	admitted := id != "" && expected == t.id && !full
 	if admitted {
 		t.running++
 	}
 	t.mu.Unlock()
-	if r.URL.Path == "/health" {
+	if probed {
+		if endless {
+			t.writeEndlessly(w)
+		}
 		return
 	}
 	w.Header().Set("X-Pollenscale-Try-Id", id)
@@ -275,13 +285,23 @@
 	case <-r.Context().Done():
 		return
 	}
-	if lost {
+	switch {
+	case lost:
 		rowstore.HangUp(w)
 		return
+	case endless:
+		t.writeEndlessly(w)
+		return
 	}
 	w.Header().Set("X-Pollenscale-Response-Stamp", "stamp-"+id)
 	w.Write([]byte(answerTo(id)))
 }
 
-// answerTo is the whole answer to a request.
-func answerTo(id string) string { return strings.Repeat(id+"\n", 60) }
+// answerTo is the whole answer to a request. One in eight is 136 KB long.
+func answerTo(id string) string {
+	lines := 60
+	if strings.HasSuffix(id, "0") || strings.HasSuffix(id, "1") {
+		lines = 8000
+	}
+	return strings.Repeat(id+"\n", lines)
+}
