sidecar: spread the writes and reads after the store was restored

Cause: when the era of the store rises, every daemon wrote its record again at once, in up to two calls (the copy may have another version of the row), and all read the other records two seconds later. The store rejects what exceeds its rates, and rejected calls are repeated.

Change: the settings take over the rates that the store states. Calls that all daemons make for the same reason are spread so that they use half of a rate. A daemon whose target leaves writes at once, since an acknowledged drain depends on its record. A record that was written in the new era anyway is not written again.

Result: TestStoreOverloadedAfterRestore.

--- a/core/store/store.go
+++ b/core/store/store.go
@@ -40,6 +40,33 @@
 // out then are given out again. It is 0 if the store does not report it.
 type Era uint64
 
+// Rate is a number of calls per second.
+type Rate float64
+
+// Limits are the rates that the store accepts from all daemons together. A rate of 0 is
+// not known.
+type Limits struct {
+	Reads, Writes Rate
+}
+
+const (
+	// maxSpreadShare is the share of a rate that calls which are spread over time use.
+	maxSpreadShare = 0.5
+	// maxSpread bounds the time over which calls are spread.
+	maxSpread = 2 * time.Minute
+)
+
+// Spread returns the time over which calls have to be spread that all daemons make for
+// the same reason, so that they leave room for other calls. It is 0 if the rate is not
+// known.
+func (r Rate) Spread(calls int) time.Duration {
+	if r <= 0 {
+		return 0
+	}
+	spread := float64(calls) / float64(maxSpreadShare*r)
+	return time.Duration(min(spread, maxSpread.Seconds()) * float64(time.Second))
+}
+
 // Row is the result of a read. A row that does not exist has version 0.
 type Row struct {
 	Table   Table
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -188,3 +188,6 @@
 func jittered(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
+
+// randomUpTo returns a random duration from 0 to d.
+func randomUpTo(d time.Duration) time.Duration { return rand.N(d + 1) }
--- a/internal/sidecar/daemons_test.go
+++ b/internal/sidecar/daemons_test.go
@@ -32,7 +32,7 @@
 func newSettings() sidecar.Settings {
 	hosts++
 	process := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d:", 128+process>>8%100, process&0xff, hosts)
+	host := fmt.Sprintf("127.%d.%d.%d:", 100+(process>>8+hosts/250)%150, process&0xff, 1+hosts%250)
 	return sidecar.Settings{
 		Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}, Service: "agenda", Target: host + "8301",
 		ListenCallers: host + "8304", ListenPeers: host + "8300", ListenReady: host + "8302",
--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -8,8 +8,9 @@
 	"pollenscale/core/store"
 )
 
-// rewriteTime is how long the daemons take to write their records again after the store
-// has come back from an older copy.
+// rewriteTime is how long the daemons take to learn that the store has come back from an
+// older copy and to write their records again, in addition to the time over which they
+// spread their writes.
 const rewriteTime = 2 * time.Second
 
 // storeEra is the latest era of the store that the daemon has learned of. It is created
@@ -79,5 +80,39 @@
 		return
 	}
 	s.log.Warn("daemon: the store came back from an older copy.", "era", era, "version", s.config.Version())
-	s.wakePublisher()
+	s.rewriteRecord()
+}
+
+// rewriteRecord writes the own record again if the store may have lost it. All daemons do
+// so, and spread their writes over a time that the store can bear. A daemon whose target
+// leaves writes immediately: an acknowledged drain depends on the record.
+func (s *Sidecar) rewriteRecord() {
+	view := s.localTarget.View()
+	if view.ID != "" && !view.State.TakesWork() {
+		s.wakePublisher()
+		return
+	}
+	time.AfterFunc(randomUpTo(s.rewriteSpread()), func() {
+		if s.publisher.writtenEra() < s.storeEra.value() {
+			s.wakePublisher()
+		}
+	})
+}
+
+// rewriteCalls is the number of calls that a daemon needs to write its record again: the
+// first one fails if the copy has another version of the row.
+const rewriteCalls = 2
+
+// rewriteSpread returns the time over which the daemons spread their writes.
+func (s *Sidecar) rewriteSpread() time.Duration {
+	return s.settings.Load().StoreLimits.Writes.Spread(rewriteCalls * s.roster.Len())
+}
+
+// rereadDelay returns how long after it has learned that the store has come back from an
+// older copy a daemon reads the records of the others again.
+func (s *Sidecar) rereadDelay() time.Duration {
+	members := s.roster.Len()
+	pages := members/listPageSize + 1
+	reads := s.settings.Load().StoreLimits.Reads.Spread(members * pages)
+	return jittered(rewriteTime) + s.rewriteSpread() + randomUpTo(reads)
 }
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -85,8 +85,9 @@
 
 // maintainMembers publishes the own record and reads the records of the other daemons
 // when the daemon starts, then reads all records periodically, and when the store has
-// come back from an older copy, and sends the own record to some daemons in between. The own record is written before the others are read: of
-// two daemons that start at the same time, the one that writes later finds the other.
+// come back from an older copy, and sends the own record to some daemons in between. The
+// own record is written before the others are read: of two daemons that start at the same
+// time, the one that writes later finds the other.
 func (s *Sidecar) maintainMembers(ctx context.Context) error {
 	for pause := minStoreRetryDelay; !s.writeRecord(ctx) || !s.readMembers(ctx); pause = min(2*pause, maxStoreRetryDelay) {
 		s.announceRound(0)
@@ -100,7 +101,7 @@
 	for round := 0; wait.For(ctx, jittered(announceInterval)); round++ {
 		s.announceRound(round)
 		if current := s.storeEra.value(); current > era {
-			next, era = s.now().Add(jittered(rewriteTime)), current
+			next, era = s.now().Add(s.rereadDelay()), current
 		}
 		if s.now().Before(next) {
 			continue
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -31,6 +31,14 @@
 	sequence uint64
 	waiters  []chan struct{} // closed when the current record has been written
 	version  store.Version
+	era      store.Era // in which the store has acknowledged a record
+}
+
+// writtenEra returns the era in which the store has acknowledged a record of this daemon.
+func (p *publisher) writtenEra() store.Era {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
 }
 
 // recordChanged publishes the own record. The returned channel is closed when the store
@@ -137,11 +145,13 @@
 		s.resolveConflict(result.Conflicts)
 		return false
 	}
-	if s.eraOf(result.Era) < s.storeEra.value() {
+	era := s.eraOf(result.Era)
+	if era < s.storeEra.value() {
 		return false // committed before the store came back from an older copy
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.era = era
 	if len(result.Versions) > 0 {
 		p.version = result.Versions[0]
 	}
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"pollenscale/internal/sidecar"
 	"pollenscale/platform/rowstore"
+
+	"github.com/matryer/is"
 )
 
 // applyWithin is the bound of the users' rule for a new configuration.
@@ -91,3 +94,25 @@
 	}
 	return true
 }
+
+// TestStoreOverloadedAfterRestore guards against daemons that all write their records
+// again at the same moment, more than the store accepts in a second.
+func TestStoreOverloadedAfterRestore(t *testing.T) {
+	const count, writesPerSecond = 48, 64
+	rows := rowstore.New()
+	putConfig(rows, 1)
+	copied := rows.Version()
+	var settings []sidecar.Settings
+	for range count {
+		s := newSettings()
+		s.StoreLimits.Writes = writesPerSecond
+		settings = append(settings, s)
+	}
+	daemons := start(t, rows, settings...)
+	within(t, 5*time.Second, "written", func() bool { return allWritten(rows, daemons) })
+	time.Sleep(time.Second) // the writes of the start do not count
+	rows.LimitWrites(writesPerSecond)
+	rows.Restore(copied)
+	within(t, 10*time.Second, "written again", func() bool { return allWritten(rows, daemons) })
+	is.New(t).Equal(rows.Refused(), 0)
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -7,6 +7,7 @@
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/retry"
+	"pollenscale/core/store"
 )
 
 // Settings describe the daemon's VM, its target and the platform around it.
@@ -29,8 +30,10 @@
 	// it runs.
 	Target  string
 	Service fleet.Service
-	// Store is the address of the platform's store.
-	Store string
+	// Store is the address of the platform's store, StoreLimits the rates that it
+	// accepts.
+	Store       string
+	StoreLimits store.Limits
 	// GracePeriod is the time between the stop signal and the kill.
 	GracePeriod time.Duration
 	// DrainPeriod is how long requests may still reach the target after its drain has
