sidecar: time the first contact with a target by the steady clock

Cause: the time of the last probe was kept as Unix nanoseconds. After a step of the time of day backwards, a target that had not answered yet got no further probe until the clock had caught up; until then one request at a time went to it.

Change: the time of the next probe is kept with its monotonic reading. In the sidecar, the time of day now decides the incarnation only.

Result: no test of its own, since a test cannot step the clock of its process; the tests of the rate limit and of departures pass, twice with the race detector.

--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -30,16 +30,16 @@
 	// contacting is set while a request is in progress at a target that has not
 	// answered yet.
 	contacting atomic.Bool
-	// contactedAt is when the target was last probed for its first answer, in Unix
-	// nanoseconds.
-	contactedAt atomic.Int64
+	// contactAt is when the target may be probed for its first answer, nil for at once.
+	// It is a pointer to keep the monotonic clock: the time of day may step.
+	contactAt atomic.Pointer[time.Time]
 }
 
 // reset forgets the statements of an earlier incarnation of the target.
 func (r *targetReport) reset() {
 	r.rate.Reset()
 	r.answered.Store(false)
-	r.contactedAt.Store(0)
+	r.contactAt.Store(nil)
 }
 
 // limited reports whether the target states a rate limit.
@@ -105,9 +105,10 @@
 		return done, attemptResult{}
 	}
 	now := s.now()
-	if last := r.contactedAt.Load(); now.Sub(time.Unix(0, last)) >= contactInterval {
-		s.probe(ctx)
-		r.contactedAt.CompareAndSwap(last, now.UnixNano())
+	if at := r.contactAt.Load(); at == nil || !now.Before(*at) {
+		s.probe(ctx) // shared with the requests that arrive meanwhile
+		next := now.Add(contactInterval)
+		r.contactAt.Store(&next)
 	}
 	if r.answered.Load() {
 		return done, attemptResult{}
