sidecar: split the run of an attempt into its steps

Change: checkTarget, contactTarget, acquireSlot and prepareRun return an error that runAttempt handles in one place; releaseSlot and reportRun follow the run. A request whose body does not arrive, or that has been settled as not run, now leaves a line "target: refused" as all others do. A success without proof of origin is closed unread, since its connection is not used again.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -81,17 +81,11 @@
 		return nil, s.peerError(ctx, to, err)
 	}
 	s.observeHeaders(to, r.Header)
-	result, refused := readOutcome(r.Header, s.now())
-	resp, err := readResponse(r)
-	if refused {
-		if err == nil {
-			err = resp.close()
-		}
-		if err != nil {
-			s.log.Debug("entry: reading a refusal failed.", "error", err)
-		}
+	if result, refused := readOutcome(r.Header, s.now()); refused {
+		s.discard(r)
 		return nil, result
 	}
+	resp, err := readResponse(r)
 	if err != nil {
 		return nil, s.peerError(ctx, to, err)
 	}
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -46,11 +46,10 @@
 	})
 	is.NoErr(err)
 	s.resolveConflict([]store.Row{{Table: membersTable, Key: string(s.id), Value: value, Version: 7}})
-	result := s.checkTarget(s.localTarget.View(), &localAttempt{params: attemptParams{service: "agenda"}})
-	is.True(result.err != nil)
+	a := &localAttempt{params: attemptParams{service: "agenda"}}
+	is.True(s.checkTarget(s.localTarget.View(), a) != nil)
 	s.applyHeartbeat(t.Context(), &localtarget.Heartbeat{ID: "i-1", Service: "agenda", Sequence: 3, Slots: 9}, time.Now())
-	result = s.checkTarget(s.localTarget.View(), &localAttempt{params: attemptParams{service: "agenda"}})
-	is.True(result.err != nil) // although the heartbeat does not report the drain
+	is.True(s.checkTarget(s.localTarget.View(), a) != nil) // although the heartbeat does not report the drain
 }
 
 // TestClockStepsBack guards against a daemon that other daemons take for its earlier
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -13,6 +13,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/outcome"
+	"pollenscale/core/poison"
 	"pollenscale/core/policy"
 	"pollenscale/core/wait"
 	"pollenscale/io/http1"
@@ -64,71 +65,34 @@
 	s.activeAttempts.Add(1)
 	defer s.activeAttempts.Add(-1)
 	arrived := s.now()
-	view := s.localTarget.View()
-	if result := s.checkTarget(view, a); result.err != nil {
-		s.logRefusal(a, result.err)
-		return nil, result
+	if err := s.checkTarget(s.localTarget.View(), a); err != nil {
+		return nil, s.refuse(a, err)
 	}
-	done, result := s.contactTarget(ctx)
-	if result.err != nil {
-		s.logRefusal(a, result.err)
-		return nil, result
+	done, err := s.contactTarget(ctx)
+	if err != nil {
+		return nil, s.refuse(a, err)
 	}
 	defer done()
-	ticket, result := s.acquireSlot(ctx, a)
-	if result.err != nil {
-		s.logRefusal(a, result.err)
-		return nil, result
-	}
-	if err := s.bufferBody(ctx, a); err != nil {
-		ticket.ReleaseUnused()
-		return nil, attemptResult{err: outcome.New(outcome.NotRun, outcome.ConnectionLost, "body not received: "+err.Error())}
-	}
-	// The target may have changed while the request was queued.
-	view = s.localTarget.View()
-	if result := s.checkTarget(view, a); result.err != nil {
-		ticket.ReleaseUnused()
-		s.logRefusal(a, result.err)
-		return nil, result
-	}
-	run, err := s.poison.Begin(a.params.fingerprint)
+	ticket, err := s.acquireSlot(ctx, a)
 	if err != nil {
-		ticket.ReleaseUnused()
-		s.logRefusal(a, asOutcomeError(err))
-		return nil, attemptResult{err: asOutcomeError(err)}
+		return nil, s.refuse(a, err)
 	}
-	if err := a.start(); err != nil {
+	view, run, err := s.prepareRun(ctx, a)
+	if err != nil {
 		ticket.ReleaseUnused()
-		run.End(ctx, false)
-		return nil, attemptResult{err: asOutcomeError(err)}
+		return nil, s.refuse(a, err)
 	}
 	started := s.now()
-	s.meters.phase("queue", started.Sub(arrived))
 	resp, result := s.forwardToTarget(ctx, a, view)
 	took := s.now().Sub(started)
 	s.endRun(ctx, run, result)
-	s.meters.phase("target", took)
-	switch {
-	case result.refusedByTarget:
-		ticket.ReleaseRefused()
-	case result.err != nil && result.err.Outcome == outcome.NotRun:
-		ticket.ReleaseUnused()
-	case result.err != nil || resp.status >= http.StatusInternalServerError:
-		ticket.Fail()
-	default:
-		ticket.Release()
-	}
-	if result.err != nil {
-		s.log.Warn("target: failed.", "request", a.id, "target", view.ID, "outcome", result.err.Outcome, "reason", result.err.Reason, "detail", result.err.Detail,
-			"queued", started.Sub(arrived), "took", took)
-		return resp, result
-	}
-	s.log.Info("target: ran.", "request", a.id, "target", view.ID, "status", resp.status, "queued", started.Sub(arrived), "took", took)
+	releaseSlot(ticket, resp, result)
+	s.reportRun(a, view, resp, result, started.Sub(arrived), took)
 	return resp, result
 }
 
 // acquireSlot waits for a slot at a time when the target is not slowed down.
-func (s *Sidecar) acquireSlot(ctx context.Context, a *localAttempt) (*admit.Ticket, attemptResult) {
+func (s *Sidecar) acquireSlot(ctx context.Context, a *localAttempt) (*admit.Ticket, *outcome.Error) {
 	s.recheckPause(ctx)
 	for {
 		ticket, err := s.queue.AcquireTicket(ctx, admit.Request{
@@ -136,15 +100,64 @@
 			Objective: a.params.objective, ServiceTime: a.params.serviceTime, Untypical: s.untypical(),
 		})
 		if err != nil {
-			return nil, attemptResult{err: asOutcomeError(err)}
+			return nil, asOutcomeError(err)
 		}
 		if !s.slowedDown(ctx) {
-			return ticket, attemptResult{}
+			return ticket, nil
 		}
 		ticket.ReleaseUnused()
 	}
 }
 
+// prepareRun makes the last checks before a request that has a slot is sent to the
+// target in view.
+func (s *Sidecar) prepareRun(ctx context.Context, a *localAttempt) (localtarget.View, *poison.Run, *outcome.Error) {
+	if err := s.bufferBody(ctx, a); err != nil {
+		return localtarget.View{}, nil, outcome.New(outcome.NotRun, outcome.ConnectionLost, "body not received: "+err.Error())
+	}
+	// The target may have changed while the request was queued.
+	view := s.localTarget.View()
+	if err := s.checkTarget(view, a); err != nil {
+		return view, nil, err
+	}
+	run, err := s.poison.Begin(a.params.fingerprint)
+	if err != nil {
+		return view, nil, asOutcomeError(err)
+	}
+	if err := a.start(); err != nil {
+		run.End(ctx, false)
+		return view, nil, asOutcomeError(err)
+	}
+	return view, run, nil
+}
+
+// releaseSlot gives back the slot of a request that was sent to the target.
+func releaseSlot(ticket *admit.Ticket, resp *response, result attemptResult) {
+	switch {
+	case result.refusedByTarget:
+		ticket.ReleaseRefused()
+	case result.err != nil && result.err.Outcome == outcome.NotRun:
+		ticket.ReleaseUnused()
+	case result.err != nil || resp.status >= http.StatusInternalServerError:
+		ticket.Fail()
+	default:
+		ticket.Release()
+	}
+}
+
+// reportRun logs and measures how long a request waited for its slot and what the target
+// made of it.
+func (s *Sidecar) reportRun(a *localAttempt, view localtarget.View, resp *response, result attemptResult, queued, took time.Duration) {
+	s.meters.phase("queue", queued)
+	s.meters.phase("target", took)
+	if e := result.err; e != nil {
+		s.log.Warn("target: failed.", "request", a.id, "target", view.ID, "outcome", e.Outcome, "reason", e.Reason, "detail", e.Detail,
+			"queued", queued, "took", took)
+		return
+	}
+	s.log.Info("target: ran.", "request", a.id, "target", view.ID, "status", resp.status, "queued", queued, "took", took)
+}
+
 // coldUnknownPeriod is how long after its start a daemon does not yet know whether the
 // target is cold.
 const coldUnknownPeriod = 3 * time.Second
@@ -176,25 +189,28 @@
 	return nil
 }
 
-// checkTarget refuses requests that the target must not or cannot run.
-func (s *Sidecar) checkTarget(view localtarget.View, a *localAttempt) attemptResult {
+// checkTarget returns why the target must not or cannot run the request, nil if it may.
+func (s *Sidecar) checkTarget(view localtarget.View, a *localAttempt) *outcome.Error {
 	switch {
 	case view.ID == "":
-		return attemptResult{err: outcome.New(outcome.NotRun, outcome.NoTarget, "no target has announced itself")}
+		return outcome.New(outcome.NotRun, outcome.NoTarget, "no target has announced itself")
 	case view.Service != a.params.service && !checkTargetService.Off():
-		return attemptResult{err: outcome.New(outcome.NotRun, outcome.NoTarget, "the target runs another service")}
+		return outcome.New(outcome.NotRun, outcome.NoTarget, "the target runs another service")
 	case !view.State.TakesWork() && !refuseWhenDrained.Off():
-		return attemptResult{err: outcome.New(outcome.NotRun, outcome.Draining, "the target is draining")}
+		return outcome.New(outcome.NotRun, outcome.Draining, "the target is draining")
 	}
-	return attemptResult{}
+	return nil
 }
 
-func (s *Sidecar) logRefusal(a *localAttempt, e *outcome.Error) {
+// refuse logs and counts a request that is not sent to the target, and returns its
+// result.
+func (s *Sidecar) refuse(a *localAttempt, e *outcome.Error) attemptResult {
 	s.meters.refused(e.Reason).Inc()
 	load := s.queue.Load(s.now())
 	s.log.Info("target: refused.", "request", a.id, "reason", e.Reason, "detail", e.Detail, "priority", a.params.priority,
 		"left", a.params.deadline.Sub(s.now()), "work", a.params.serviceTime, "running", load.Running, "queued", load.Queued,
 		"slots", load.Slots, "wait", load.WaitLow, "slowed", s.slowdown.Slow())
+	return attemptResult{err: e}
 }
 
 // forwardToTarget sends the request to the target and reads the response.
@@ -214,30 +230,40 @@
 	}
 	meta := s.protocol.ReadAnswer(r.Status, r.Header)
 	s.observeTarget(view, meta, now)
-	resp, err := readResponse(r)
 	if meta.NotExecuted {
-		if resp != nil {
-			err = errors.CombineErrors(err, resp.close())
-		}
-		if err != nil {
-			s.log.Debug("target: reading a response without execution failed.", "error", err)
+		return nil, s.refusedByTarget(r)
+	}
+	if r.Status < http.StatusMultipleChoices && !meta.FromTarget {
+		if err := r.Close(); err != nil {
+			return nil, s.targetError(ctx, err)
 		}
-		e := outcome.New(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status))
-		return nil, attemptResult{err: e, refusedByTarget: true}
+		return nil, attemptResult{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "response without proof of origin")}
 	}
+	resp, err := readResponse(r)
 	if err != nil {
 		return nil, s.targetError(ctx, err)
 	}
-	if r.Status < http.StatusMultipleChoices && !meta.FromTarget {
-		if err := resp.close(); err != nil {
-			s.log.Debug("target: closing a response without proof of origin failed.", "error", err)
-		}
-		return nil, attemptResult{err: outcome.New(outcome.Unknown, outcome.TargetFailed, "answer without proof of origin")}
-	}
 	resp.serviceTime = s.now().Sub(now)
 	return resp, attemptResult{}
 }
 
+// refusedByTarget returns the result of a request that the target states not to have run.
+func (s *Sidecar) refusedByTarget(r *http1.Response) attemptResult {
+	s.discard(r)
+	return attemptResult{
+		err:             outcome.New(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status)),
+		refusedByTarget: true,
+	}
+}
+
+// discard ends a response whose body is not used. Its connection is closed if the body
+// cannot be read.
+func (s *Sidecar) discard(r *http1.Response) {
+	if err := discardResponse(r); err != nil {
+		s.log.Debug("daemon: reading an unused response failed.", "status", r.Status, "error", err)
+	}
+}
+
 func (s *Sidecar) targetError(ctx context.Context, err error) attemptResult {
 	if errors.Is(err, http1.ErrNotSent) {
 		return attemptResult{err: outcome.New(outcome.NotRun, outcome.NoTarget, "the target does not accept connections")}
--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -98,11 +98,11 @@
 // requests: an earlier process may have passed on that it states a rate limit or leaves,
 // and callers rely on it. While the target answers no probe, it gets one request at a
 // time. The caller calls done when the request has ended.
-func (s *Sidecar) contactTarget(ctx context.Context) (done func(), result attemptResult) {
+func (s *Sidecar) contactTarget(ctx context.Context) (done func(), err *outcome.Error) {
 	r := &s.targetReport
 	done = func() {}
 	if r.answered.Load() {
-		return done, attemptResult{}
+		return done, nil
 	}
 	now := s.now()
 	if at := r.contactAt.Load(); at == nil || !now.Before(*at) {
@@ -111,14 +111,14 @@
 		r.contactAt.Store(&next)
 	}
 	if r.answered.Load() {
-		return done, attemptResult{}
+		return done, nil
 	}
 	if r.contacting.CompareAndSwap(false, true) {
-		return func() { r.contacting.Store(false) }, attemptResult{}
+		return func() { r.contacting.Store(false) }, nil
 	}
-	err := outcome.New(outcome.NotRun, outcome.Overloaded, "the target has not answered this daemon yet")
+	err = outcome.New(outcome.NotRun, outcome.Overloaded, "the target has not answered this daemon yet")
 	err.RetryAt = now.Add(contactInterval)
-	return done, attemptResult{err: err}
+	return done, err
 }
 
 // recheckRateLimit probes a target whose rate limit has not been stated recently.
