--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -95,7 +95,7 @@
 const (
 	answered ending = "answered"
 	failed   ending = "failed"  // it ran, and failed or may have failed
-	rejected ending = "refused" // the target refused to run it
+	rejected ending = "rejected" // the target refused to run it
 	unsent   ending = "unsent"
 )
 
