--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -94,7 +94,7 @@
 
 const (
 	answered ending = "answered"
-	failed   ending = "failed"  // it ran, and failed or may have failed
+	failed   ending = "failed"   // it ran, and failed or may have failed
 	rejected ending = "rejected" // the target refused to run it
 	unsent   ending = "unsent"
 )
