soak: send an attempt of a client once

Cause: a fault of the soak's client, not of the daemons. net/http repeats a request without a body on a new connection when the one that it used is lost. Clearing GetBody prevents that only for requests with a body, so reads were sent twice under one id. The users' rules give each client attempt an id of its own, and a process that has lost all state cannot know of the first one.

Change: every attempt has a body that cannot be read again, an empty one for reads. No check is changed.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -206,6 +205,22 @@
 	return nil
 }
 
+// newAttempt returns a client attempt, which is sent once: net/http repeats a request
+// without a body, or with one that it can read again.
+func newAttempt(ctx context.Context, address, method, id string, e entry) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address, io.NopCloser(strings.NewReader(e.body)))
+	if err != nil {
+		panic(err)
+	}
+	r.ContentLength = int64(len(e.body))
+	r.URL.Opaque = e.target
+	r.Host = "soak.example"
+	r.Header.Set("X-Pollenscale-Try-Id", id)
+	r.Header.Set("X-Pollenscale-Deadline-Ms", "1200")
+	r.Header.Set("X-Pollenscale-Caller-Service", "forged")
+	return r
+}
+
 // send sends one request and records what came back.
 func (v *vm) send(ctx context.Context, client *http.Client) bool {
 	id := fmt.Sprintf("%016x", rand.Uint64())
@@ -219,21 +234,8 @@
 		e.target = "/book/" + service + "/" + id
 		e.body = strings.Repeat(id, 1+rand.IntN(2)*rand.IntN(4000))
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+v.address(portCallers), bytes.NewReader([]byte(e.body)))
-	if err != nil {
-		panic(err)
-	}
-	r.URL.Opaque = e.target
-	r.Host = "soak.example"
-	r.GetBody = nil // a client attempt is sent once
-	if e.idempotent {
-		r.Body = nil
-	}
-	r.Header.Set("X-Pollenscale-Try-Id", id)
-	r.Header.Set("X-Pollenscale-Deadline-Ms", "1200")
-	r.Header.Set("X-Pollenscale-Caller-Service", "forged")
 	v.site.ledger.sent(id, e)
-	answer, err := client.Do(r)
+	answer, err := client.Do(newAttempt(ctx, v.address(portCallers), method, id, e))
 	if err != nil {
 		v.site.ledger.count("no answer")
 		return false
