tests: name the loopback addresses of daemons and the share of endless answers

Cause: read as a newcomer, an address was computed in one dense line and a share was a bare number. Change: newHost, endlessShare.

--- a/internal/sidecar/daemons_test.go
+++ b/internal/sidecar/daemons_test.go
@@ -25,14 +25,21 @@
 	id       string
 }
 
-// hosts counts the loopback addresses in use. Each daemon has its own, so that its ports
-// are free.
+// hosts counts the loopback addresses in use.
 var hosts int
 
-func newSettings() sidecar.Settings {
+// newHost returns a loopback address that no other daemon uses, of this test process or
+// of another one, followed by a colon. Its ports are free.
+func newHost() string {
+	const hostsInSubnet = 250
 	hosts++
 	process := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d:", 100+(process>>8+hosts/250)%150, process&0xff, 1+hosts%250)
+	subnet := (process>>8 + hosts/hostsInSubnet) % 150
+	return fmt.Sprintf("127.%d.%d.%d:", 100+subnet, process&0xff, 1+hosts%hostsInSubnet)
+}
+
+func newSettings() sidecar.Settings {
+	host := newHost()
 	return sidecar.Settings{
 		Place: fleet.Place{Region: "scl", AvailabilityZone: "scl-a"}, Service: "agenda", Target: host + "8301",
 		ListenCallers: host + "8304", ListenPeers: host + "8300", ListenReady: host + "8302",
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// endlessShare is the share of runs and probes that are answered without end during
+	// the fault.
+	endlessShare = 0.2
 	// endlessAllowed is how long a daemon may leave a connection open on which it gets
 	// bytes without end: the longest deadline, a freeze of the daemon, and a margin.
 	endlessAllowed = 5 * time.Second
@@ -45,7 +48,7 @@
 // answerEndlessly makes the target answer some runs and probes with bytes without end for
 // a while.
 func (t *appTarget) answerEndlessly(d time.Duration) {
-	t.setEndless(0.2)
+	t.setEndless(endlessShare)
 	time.Sleep(d)
 	t.setEndless(0)
 }
