sidecar: do not wait without end for the rest of a body

Callers would see: a target with fewer and fewer slots, after connections between daemons have fallen silent in the middle of a body; and no response at all to a request whose caller stops sending it.

Cause: same class as the head of a response without end: bytes are read from a peer without an end to it. The context of a request ends at its deadline, but a read of its body does not see the context. The daemon beside the target reads a long body while it holds a slot, so that each silent connection cost one slot for good. The control address and crash reports read their bodies in the same way.

Evidence: a peer that sends a head and the first ten bytes of 32 KB kept the attempt and its slot in use a second after the deadline, and as long as the test looked; a caller that does the same got no response.

Change: the deadline of the request is set on the connection while the body is read. What is read no further ends with it, also inside a blocked read. The entry responds with 408, which promises that the request has not run. Reading bodies moves from entry.go to body.go.

--- /dev/null
+++ b/internal/sidecar/body.go
@@ -0,0 +1,78 @@
+package sidecar
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+)
+
+// maxReplayBytes is the largest body that is kept in memory for further attempts.
+const maxReplayBytes = 1 << 20
+
+// streamMargin is the time after the deadline of a request in which its handler still
+// responds before the connection of a body that is passed on as it arrives counts as lost.
+const streamMargin = 500 * time.Millisecond
+
+// endBodyAt makes reads of the body fail from a time on, so that a sender that stops in the
+// middle of a body occupies nothing after it. The zero time means never.
+func (s *Sidecar) endBodyAt(w http.ResponseWriter, r *http.Request, at time.Time) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(at); err != nil {
+		s.log.Debug("daemon: setting the read deadline of a body failed.", "error", err)
+	}
+}
+
+// readBody reads the body, or the first part of one that is too long to keep. The reads
+// end with the deadline of the request.
+func (s *Sidecar) readBody(w http.ResponseWriter, r *http.Request, q *request) error {
+	s.endBodyAt(w, r, q.deadline)
+	if err := q.readBody(r); err != nil {
+		return err
+	}
+	if q.stream != nil {
+		s.endBodyAt(w, r, q.deadline.Add(streamMargin))
+		return nil
+	}
+	s.endBodyAt(w, r, time.Time{})
+	return nil
+}
+
+// readBody reads the body, or the first part of one that is too long to keep.
+func (q *request) readBody(r *http.Request) error {
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		q.length = 0
+		return nil
+	}
+	var buffer bytes.Buffer
+	if r.ContentLength > 0 && r.ContentLength <= maxReplayBytes {
+		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(r.Body, maxReplayBytes+1))
+	if err != nil {
+		return err
+	}
+	q.body = buffer.Bytes()
+	if n > maxReplayBytes {
+		q.stream = r.Body
+		return nil
+	}
+	q.length = n
+	return nil
+}
+
+// replayable reports whether the body can be sent again.
+func (q *request) replayable() bool { return q.stream == nil }
+
+// bodyReader returns a reader of the body for one attempt.
+func (q *request) bodyReader() io.Reader {
+	if q.length == 0 {
+		return nil
+	}
+	if q.stream != nil {
+		return io.MultiReader(bytes.NewReader(q.body), q.stream)
+	}
+	return bytes.NewReader(q.body)
+}
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -112,6 +112,7 @@
 
 // serveCrashReport applies the crash report of another daemon.
 func (s *Sidecar) serveCrashReport(w http.ResponseWriter, r *http.Request) {
+	s.endBodyAt(w, r, s.now().Add(fetchTimeout))
 	var report crashReport
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxReportBytes)).Decode(&report); err != nil {
 		http.Error(w, "crash report cannot be read", http.StatusBadRequest)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -1,10 +1,10 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -17,8 +17,6 @@
 )
 
 const (
-	// maxReplayBytes is the largest body that is kept in memory for further attempts.
-	maxReplayBytes = 1 << 20
 	// minRetryAfter is the shortest Retry-After that is returned to a refused client.
 	minRetryAfter = 50 * time.Millisecond
 	// maxRedirects limits how many daemons may refuse a request before it queues at a
@@ -115,51 +113,24 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	if err := q.readBody(r); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, http.StatusRequestEntityTooLarge, "body too large"
-		}
-		return nil, http.StatusBadRequest, "body cannot be read"
+	if err := s.readBody(w, r, q); err != nil {
+		status, detail := bodyFailure(err)
+		return nil, status, detail
 	}
 	return q, 0, ""
 }
 
-// readBody reads the body, or the first part of one that is too long to keep.
-func (q *request) readBody(r *http.Request) error {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		q.length = 0
-		return nil
-	}
-	var buffer bytes.Buffer
-	if r.ContentLength > 0 && r.ContentLength <= maxReplayBytes {
-		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buffer, io.LimitReader(r.Body, maxReplayBytes+1))
-	if err != nil {
-		return err
-	}
-	q.body = buffer.Bytes()
-	if n > maxReplayBytes {
-		q.stream = r.Body
-		return nil
-	}
-	q.length = n
-	return nil
-}
-
-// replayable reports whether the body can be sent again.
-func (q *request) replayable() bool { return q.stream == nil }
-
-// bodyReader returns a reader of the body for one attempt.
-func (q *request) bodyReader() io.Reader {
-	if q.length == 0 {
-		return nil
-	}
-	if q.stream != nil {
-		return io.MultiReader(bytes.NewReader(q.body), q.stream)
+// bodyFailure returns the status and the detail of the response to a request whose body
+// could not be read.
+func bodyFailure(err error) (int, string) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, "body too large"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "body not received by the deadline"
 	}
-	return bytes.NewReader(q.body)
+	return http.StatusBadRequest, "body cannot be read"
 }
 
 // writeFailure sends the error response for a request that no target responded to.
--- a/internal/sidecar/fetch.go
+++ b/internal/sidecar/fetch.go
@@ -23,7 +23,7 @@
 }
 
 const (
-	// fetchTimeout limits a call that reads the state of another daemon.
+	// fetchTimeout limits a call that reads the state or a report of another daemon.
 	fetchTimeout = time.Second
 	// maxSnapshotBytes limits a snapshot: 4,000 records of 400 bytes, and a
 	// configuration in base64.
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -29,7 +29,7 @@
 		{settings.ListenCallers, callers},
 		{settings.ListenPeers, &http.Server{Handler: http.HandlerFunc(s.servePeer), IdleTimeout: peerIdleTimeout, ReadHeaderTimeout: defaultHeaderTimeout}},
 		{settings.ListenReady, &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenControl, &http.Server{Handler: http.HandlerFunc(s.serveControl), ReadHeaderTimeout: defaultHeaderTimeout}},
+		{settings.ListenControl, &http.Server{Handler: http.HandlerFunc(s.serveControl), ReadTimeout: controlReadTimeout, IdleTimeout: callerIdleTimeout}},
 		{settings.ListenMetrics, &http.Server{Handler: http.HandlerFunc(s.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}},
 	}
 	var servers []server
@@ -62,6 +62,8 @@
 	// of the configuration are checked for each request.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 64 << 10
+	// controlReadTimeout limits how long the target takes to send a call.
+	controlReadTimeout = 5 * time.Second
 	// callerIdleTimeout is longer than any idle timeout of a configuration, so that the
 	// daemon does not close a connection that a client still uses.
 	callerIdleTimeout = 75 * time.Second
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -38,6 +38,7 @@
 		http.Error(w, "no attempt", http.StatusBadRequest)
 		return
 	}
+	s.endBodyAt(w, r, params.deadline.Add(responseMargin))
 	ctx, cancel := context.WithDeadline(r.Context(), params.deadline.Add(responseMargin/2))
 	defer cancel()
 	resp, result := s.serveAttempt(ctx, r, ref, params, cancel)
