--- a/core/limit/rate_test.go
+++ b/core/limit/rate_test.go
@@ -10,8 +10,7 @@
 	"github.com/matryer/is"
 )
 
-// TestRateBoundsEverySpan guards against more requests in any four seconds than the
-// rate allows, also when the limit begins after idle time or changes.
+// TestRateBoundsEverySpan guards against more requests in any four seconds than the rate allows.
 func TestRateBoundsEverySpan(t *testing.T) {
 	const span, step, pressure = 4 * time.Second, 10 * time.Millisecond, 10
 	for _, rate := range []exchange.Rate{0, 0.4, 1, 7.5, 200} {
@@ -46,8 +45,7 @@
 	}
 }
 
-// TestRateLift guards against a late response without a limit that lifts a limit stated
-// after it, and against a limit that is not lifted.
+// TestRateLift guards against a limit that a late response lifts, or that none lifts.
 func TestRateLift(t *testing.T) {
 	is := is.New(t)
 	var r limit.Rate
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -43,8 +43,7 @@
 	is.True(other != relay && other != "")
 }
 
-// TestLeavingTargetReturns guards against requests to a target that has stated that it
-// leaves, because its daemon restarts and takes it for a serving one.
+// TestLeavingTargetReturns guards against use of a leaving target after its daemon has restarted.
 func TestLeavingTargetReturns(t *testing.T) {
 	is := is.New(t)
 	r := roster.New("own")
--- a/internal/sidecar/dispatch_test.go
+++ b/internal/sidecar/dispatch_test.go
@@ -56,9 +56,7 @@
 	is.Equal(second.Target.Daemon, fleet.DaemonID("far"))
 }
 
-// TestExtraRetriesWithoutRecords guards against daemons that restart while the store is
-// unavailable, take themselves for the only one, and together use many times the extra
-// retries of the fleet.
+// TestExtraRetriesWithoutRecords guards against daemons that take themselves for the only one.
 func TestExtraRetriesWithoutRecords(t *testing.T) {
 	is := is.New(t)
 	s := New(Settings{ListenPeers: "127.0.0.1:1", RetryBudget: retry.FleetLimits{Ratio: 0.2, ExtraRetries: 58, Window: 10 * time.Second}}, Protocol{})
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -22,9 +22,7 @@
 	}
 }
 
-// TestEndlessResponse guards against a response without end that reaches the caller as a
-// complete one, or that occupies a daemon after the deadline of the request or after the
-// caller has gone.
+// TestEndlessResponse guards against a response without end that seems complete or outlives its request.
 func TestEndlessResponse(t *testing.T) {
 	const deadline = 400 * time.Millisecond
 	cases := []struct {
@@ -60,8 +58,7 @@
 	}
 }
 
-// TestEndlessResponseUnread guards against connections that stay open when a peer sends a
-// response without end whose body the daemon does not use.
+// TestEndlessResponseUnread guards against connections left open at a response that is not used.
 func TestEndlessResponseUnread(t *testing.T) {
 	config, err := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "agenda", HealthPath: "/health"}}})
 	is.New(t).NoErr(err)
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -15,8 +15,7 @@
 	"github.com/matryer/is"
 )
 
-// TestLeavingTargetGetsRequests guards against requests to a target that has stated in
-// a response that it leaves, although its announcement has not arrived.
+// TestLeavingTargetGetsRequests guards against use of a target that states only in responses that it leaves.
 func TestLeavingTargetGetsRequests(t *testing.T) {
 	is := is.New(t)
 	target, start := startStatingTarget(t)
@@ -33,8 +32,7 @@
 	is.Equal(target.runs, 2)
 }
 
-// TestEntryForgetsLeavingTarget guards against an entry that has passed on that a target
-// leaves and sends it requests again after the daemon beside the target has restarted.
+// TestEntryForgetsLeavingTarget guards against requests after the daemon beside a leaving target has restarted.
 func TestEntryForgetsLeavingTarget(t *testing.T) {
 	is := is.New(t)
 	target, start := startStatingTarget(t)
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -117,8 +117,7 @@
 	is.Equal(row.Version, store.Version(0))
 }
 
-// TestAcknowledgementOfEarlierEra guards against a record that counts as written although
-// the store has come back from an older copy since it acknowledged the record.
+// TestAcknowledgementOfEarlierEra guards against a lost record that counts as written.
 func TestAcknowledgementOfEarlierEra(t *testing.T) {
 	is := is.New(t)
 	tables := memstore.New().Tables()
@@ -144,8 +143,7 @@
 	<-written
 }
 
-// TestResponseWithoutEra guards against a record that is written again and again because
-// a response of the store does not state its era.
+// TestResponseWithoutEra guards against a record that is written again and again.
 func TestResponseWithoutEra(t *testing.T) {
 	is := is.New(t)
 	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{}, WithTables(memstore.New().Tables()))
--- a/internal/sidecar/ratelimit_test.go
+++ b/internal/sidecar/ratelimit_test.go
@@ -132,8 +132,7 @@
 	return served
 }
 
-// TestTargetGetsMoreThanItsRateLimit guards against a target that gets more requests
-// and probes than the rate limit that it states allows.
+// TestTargetGetsMoreThanItsRateLimit guards against more requests and probes than a target states to take.
 func TestTargetGetsMoreThanItsRateLimit(t *testing.T) {
 	const span = 1500 * time.Millisecond
 	cases := []struct {
@@ -174,8 +173,7 @@
 	}
 }
 
-// TestRateLimitOutlivesItsStatement guards against a target that keeps getting few
-// requests after it has stopped stating a limit, or none after one of zero.
+// TestRateLimitOutlivesItsStatement guards against too few requests after a limit has ended.
 func TestRateLimitOutlivesItsStatement(t *testing.T) {
 	for _, limit := range []string{"4", "0"} {
 		is := is.New(t)
--- a/internal/sidecar/response_test.go
+++ b/internal/sidecar/response_test.go
@@ -76,8 +76,7 @@
 	return p.entry.activeRequests.Load() + p.beside.activeAttempts.Load()
 }
 
-// TestLargeResponseCut guards against a response that is cut off after its first part on
-// the way between two daemons.
+// TestLargeResponseCut guards against a response cut off after its first part between two daemons.
 func TestLargeResponseCut(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
 		is := is.New(t)
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -34,8 +34,7 @@
 	return get(fmt.Sprintf("http://%s/%d/", d.settings.ListenCallers, version), "x") == http.StatusServiceUnavailable // no target
 }
 
-// TestHistoryRequestedAgainAndAgain guards against a daemon that asks for a history
-// that the store does not have, five times a second, until the configuration changes.
+// TestHistoryRequestedAgainAndAgain guards against repeated calls for a history that the store lacks.
 func TestHistoryRequestedAgainAndAgain(t *testing.T) {
 	rows := rowstore.New()
 	putConfig(rows, 1)
@@ -50,8 +49,7 @@
 	within(t, applyWithin, "in force", func() bool { return d.inForce(2) })
 }
 
-// TestChangeMissedAfterRestore guards against a configuration that is not taken because
-// its row got a version that the store had given out before it came back from a copy.
+// TestChangeMissedAfterRestore guards against a configuration missed because its row's version was given out before.
 func TestChangeMissedAfterRestore(t *testing.T) {
 	rows := rowstore.New()
 	putConfig(rows, 1)
@@ -71,9 +69,7 @@
 	}
 }
 
-// TestRecordLostByRestore guards against records of daemons that stay lost after the
-// store has come back from a copy without them, so that a daemon that restarts does not
-// know an acknowledged drain, and new daemons do not know the others.
+// TestRecordLostByRestore guards against records of daemons that the copy lacks and that stay lost.
 func TestRecordLostByRestore(t *testing.T) {
 	rows := rowstore.New()
 	putConfig(rows, 1)
@@ -95,8 +91,7 @@
 	return true
 }
 
-// TestStoreOverloadedAfterRestore guards against daemons that all write their records
-// again at the same moment, more than the store accepts in a second.
+// TestStoreOverloadedAfterRestore guards against more writes in a second than the store accepts.
 func TestStoreOverloadedAfterRestore(t *testing.T) {
 	const count, writesPerSecond = 48, 64
 	rows := rowstore.New()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -27,8 +27,7 @@
 	t.Cleanup(func() { packets.Close() })
 }
 
-// TestMetricsPortTaken guards against a daemon that does not serve because another
-// process uses its metrics port.
+// TestMetricsPortTaken guards against a daemon that does not serve because its metrics port is taken.
 func TestMetricsPortTaken(t *testing.T) {
 	rows := rowstore.New()
 	putConfig(rows, 1)
@@ -52,8 +51,7 @@
 	is.True(strings.Contains(string(text), "pollenscale_members"))
 }
 
-// TestListenersLeftOpen guards against a daemon that cannot start because a port is taken
-// and leaves its other ports open: clients connect to them and wait without end.
+// TestListenersLeftOpen guards against ports left open by a daemon that cannot start.
 func TestListenersLeftOpen(t *testing.T) {
 	ports := []func(*sidecar.Settings) string{
 		func(s *sidecar.Settings) string { return s.ListenCallers },
--- a/internal/soak/attempt_test.go
+++ b/internal/soak/attempt_test.go
@@ -11,9 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// TestAttemptSentTwice guards against a client of the soak that sends an attempt again
-// under the same id when its connection is lost: the daemon that restarted in between
-// knows nothing of the first one.
+// TestAttemptSentTwice guards against a client that sends an attempt again when its connection is lost.
 func TestAttemptSentTwice(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		is := is.New(t)
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -49,8 +49,7 @@
 	return l.Addr().String(), taken
 }
 
-// TestEndlessHead guards against memory that grows with a head that a peer sends without
-// end.
+// TestEndlessHead guards against memory that grows with a head without end.
 func TestEndlessHead(t *testing.T) {
 	cases := []struct{ name, beginning, piece string }{
 		{"bytes without a line end", "", "x"},
@@ -87,8 +86,7 @@
 	}
 }
 
-// TestEndlessBody guards against a body without end that is taken for a complete one, or
-// that occupies the connection after the deadline.
+// TestEndlessBody guards against a body without end that seems complete or outlives the deadline.
 func TestEndlessBody(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"} {
 		is := is.New(t)
