limit: name the token bucket, one stand-in for bytes without end

Cause: limit.Rate, exchange.Rate and store.Rate were three types of one name, its method State read like a getter, and two tests had the same peer that writes without end.

Change: limit.TokenBucket with Set; standin/endless serves both tests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -97,7 +97,7 @@
 	Now func() time.Time
 
 	limit *limit.Limit
-	rate  *limit.Rate
+	rate  *limit.TokenBucket
 
 	mu             sync.Mutex
 	ranks          []*rank // in descending order of worth
@@ -126,12 +126,12 @@
 type Option func(*Queue)
 
 // WithRate bounds the requests per second that start. By default they are unbounded.
-func WithRate(r *limit.Rate) Option { return func(q *Queue) { q.rate = r } }
+func WithRate(r *limit.TokenBucket) Option { return func(q *Queue) { q.rate = r } }
 
 // New returns a queue with the ranks and weights of the service, whose concurrency
 // is bounded by l.
 func New(service *policy.Service, l *limit.Limit, options ...Option) *Queue {
-	q := &Queue{Now: time.Now, limit: l, rate: &limit.Rate{}}
+	q := &Queue{Now: time.Now, limit: l, rate: &limit.TokenBucket{}}
 	for _, o := range options {
 		o(q)
 	}
--- a/core/limit/rate_test.go
+++ b/core/limit/tokenbucket_test.go
@@ -14,17 +14,17 @@
 func TestRateBoundsEverySpan(t *testing.T) {
 	const span, step, pressure = 4 * time.Second, 10 * time.Millisecond, 10
 	for _, rate := range []exchange.Rate{0, 0.4, 1, 7.5, 200} {
-		var r limit.Rate
+		var b limit.TokenBucket
 		start := time.Unix(1000, 0)
-		r.State(rate, start)
+		b.Set(rate, start)
 		var sent []time.Time
 		for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(step) {
 			if now.Sub(start) > 5*time.Second && now.Sub(start) < 6*time.Second {
 				continue // idle
 			}
-			r.State(rate, now)
-			for n := 0; n < pressure && r.Available(now) > 0; n++ {
-				r.Take(now)
+			b.Set(rate, now)
+			for n := 0; n < pressure && b.Available(now) > 0; n++ {
+				b.Take(now)
 				sent = append(sent, now)
 			}
 		}
@@ -48,23 +48,23 @@
 // TestRateLift guards against a limit that a late response lifts, or that none lifts.
 func TestRateLift(t *testing.T) {
 	is := is.New(t)
-	var r limit.Rate
+	var b limit.TokenBucket
 	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
-	is.True(r.Available(at(0)) > 1000)
-	r.State(2, at(100))
-	is.Equal(r.Available(at(100)), 0)
-	is.Equal(r.Wait(1, at(100)), 500*time.Millisecond)
-	is.Equal(r.Concurrency(9, 200*time.Millisecond), 1)
-	is.True(!r.Lift(at(90)))
-	is.Equal(r.Available(at(601)), 1)
-	r.Take(at(601))
-	is.Equal(r.Available(at(601)), 0)
-	r.Return()
-	is.Equal(r.Available(at(601)), 1)
-	is.True(r.Lift(at(110)))
-	is.Equal(r.Wait(5, at(601)), time.Duration(0))
-	r.State(0, at(700))
-	is.Equal(r.Wait(1, at(700)), time.Minute) // and not without end
-	r.Reset()
-	is.True(r.Available(at(701)) > 1000)
+	is.True(b.Available(at(0)) > 1000)
+	b.Set(2, at(100))
+	is.Equal(b.Available(at(100)), 0)
+	is.Equal(b.Wait(1, at(100)), 500*time.Millisecond)
+	is.Equal(b.Concurrency(9, 200*time.Millisecond), 1)
+	is.True(!b.Lift(at(90)))
+	is.Equal(b.Available(at(601)), 1)
+	b.Take(at(601))
+	is.Equal(b.Available(at(601)), 0)
+	b.Return()
+	is.Equal(b.Available(at(601)), 1)
+	is.True(b.Lift(at(110)))
+	is.Equal(b.Wait(5, at(601)), time.Duration(0))
+	b.Set(0, at(700))
+	is.Equal(b.Wait(1, at(700)), time.Minute) // and not without end
+	b.Reset()
+	is.True(b.Available(at(701)) > 1000)
 }
--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -24,7 +24,7 @@
 // targetReport holds what the target has stated about itself in its responses to this
 // process.
 type targetReport struct {
-	rate limit.Rate
+	rate limit.TokenBucket
 	// answered is set once the target has answered this process.
 	answered atomic.Bool
 	// contacting is set while a request is in progress at a target that has not
@@ -80,7 +80,7 @@
 	if old, limited := r.Value(); !limited || old != *rate {
 		s.log.Info("target: rate limit stated.", "target", view.ID, "limit", *rate)
 	}
-	r.State(*rate, now)
+	r.Set(*rate, now)
 	s.queue.Resume()
 }
 
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -1,7 +1,6 @@
 package http1_test
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"pollenscale/io/http1"
+	"pollenscale/standin/endless"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
@@ -28,23 +28,9 @@
 	t.Cleanup(func() { l.Close() })
 	taken = new(int)
 	group.Go(func() error {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		defer conn.Close()
-		if _, err := io.WriteString(conn, beginning); err != nil {
-			return err
-		}
-		block := bytes.Repeat([]byte(piece), 64<<10/len(piece))
-		for *taken < 2*maxEndlessBytes {
-			n, err := conn.Write(block)
-			*taken += n
-			if err != nil {
-				return nil
-			}
-		}
-		return nil
+		var err error
+		*taken, err = endless.Serve(l, beginning, piece, 2*maxEndlessBytes)
+		return err
 	})
 	return l.Addr().String(), taken
 }
