sidecar: one probe at a time of a target that has not answered

Callers would see: more probes at a target in need, right after the daemon beside it has restarted, than its rate limit allows.

Cause: the time of the next probe was set after a probe had ended. A request that had read the old time, and came to the shared probe just after it had ended, started another one; with 30 callers at once there were several.

Change: whether a probe is due is decided inside the shared call, so that a request that comes after it finds the new time.

--- a/internal/sidecar/ratelimit_test.go
+++ b/internal/sidecar/ratelimit_test.go
@@ -188,3 +188,22 @@
 		is.True(press(t, s, time.Now().Add(time.Second)) > 50)
 	}
 }
+
+// TestContactProbesRepeated guards against many probes of a target that has not answered a new process.
+func TestContactProbesRepeated(t *testing.T) {
+	target, start := startStatingTarget(t)
+	target.set(func() { target.mute = true })
+	for range 20 {
+		s := start()
+		from := time.Now()
+		var callers sync.WaitGroup
+		for range 100 {
+			callers.Go(func() { s.contactTarget(t.Context()) })
+		}
+		callers.Wait()
+		allowed := 1 + int(time.Since(from)/contactInterval)
+		if got := target.arrivedSince(from); got > allowed {
+			t.Fatalf("%d probes in %s, allowed %d", got, time.Since(from), allowed)
+		}
+	}
+}
--- a/internal/sidecar/targetreport.go
+++ b/internal/sidecar/targetreport.go
@@ -104,12 +104,7 @@
 	if r.answered.Load() {
 		return done, nil
 	}
-	now := s.now()
-	if at := r.contactAt.Load(); at == nil || !now.Before(*at) {
-		s.probe(ctx) // shared with the requests that arrive meanwhile
-		next := now.Add(contactInterval)
-		r.contactAt.Store(&next)
-	}
+	s.probeForContact(ctx)
 	if r.answered.Load() {
 		return done, nil
 	}
@@ -117,10 +112,26 @@
 		return func() { r.contacting.Store(false) }, nil
 	}
 	err = outcome.New(outcome.NotRun, outcome.Overloaded, "the target has not answered this daemon yet")
-	err.RetryAt = now.Add(contactInterval)
+	err.RetryAt = s.now().Add(contactInterval)
 	return done, err
 }
 
+// probeForContact probes a target that has not answered yet, if that is due. Requests that
+// arrive during a probe share it.
+func (s *Sidecar) probeForContact(ctx context.Context) {
+	r := &s.targetReport
+	s.probeGroup.Do("contact", func() (any, error) { //nolint:errcheck,gosec // the function returns none
+		now := s.now()
+		if at := r.contactAt.Load(); at != nil && now.Before(*at) {
+			return nil, nil
+		}
+		s.probe(ctx)
+		next := now.Add(contactInterval)
+		r.contactAt.Store(&next)
+		return nil, nil
+	})
+}
+
 // recheckRateLimit probes a target whose rate limit has not been stated recently.
 func (s *Sidecar) recheckRateLimit(ctx context.Context) {
 	if s.targetReport.rate.StatedBefore(s.now().Add(-rateRecheckInterval)) {
