sidecar: one read timeout for the calls from the VM and the platform

Cause: the servers of readiness checks and metrics limited the header only, that of the control address the whole call; the same class as stalled bodies.

Change: localServer serves all three; a call has to arrive within 5 s.

Result: the package passes 30 times with the race detector, six processes at a time.

--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -28,9 +28,9 @@
 	}{
 		{settings.ListenCallers, callers},
 		{settings.ListenPeers, &http.Server{Handler: http.HandlerFunc(s.servePeer), IdleTimeout: peerIdleTimeout, ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenReady, &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: defaultHeaderTimeout}},
-		{settings.ListenControl, &http.Server{Handler: http.HandlerFunc(s.serveControl), ReadTimeout: controlReadTimeout, IdleTimeout: callerIdleTimeout}},
-		{settings.ListenMetrics, &http.Server{Handler: http.HandlerFunc(s.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}},
+		{settings.ListenReady, localServer(s.serveReady)},
+		{settings.ListenControl, localServer(s.serveControl)},
+		{settings.ListenMetrics, localServer(s.serveMetrics)},
 	}
 	var servers []server
 	for _, p := range parts {
@@ -48,6 +48,11 @@
 	return servers, nil
 }
 
+// localServer returns a server for short calls from the VM and the platform.
+func localServer(handler http.HandlerFunc) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: localReadTimeout, IdleTimeout: callerIdleTimeout}
+}
+
 // closeListeners closes the listeners of servers that do not serve.
 func closeListeners(servers []server) error {
 	var err error
@@ -62,8 +67,8 @@
 	// of the configuration are checked for each request.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 64 << 10
-	// controlReadTimeout limits how long the target takes to send a call.
-	controlReadTimeout = 5 * time.Second
+	// localReadTimeout limits how long the sender of a short call takes.
+	localReadTimeout = 5 * time.Second
 	// callerIdleTimeout is longer than any idle timeout of a configuration, so that the
 	// daemon does not close a connection that a client still uses.
 	callerIdleTimeout = 75 * time.Second
