--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -69,6 +69,20 @@
 	return nil
 }
 
+// delayFor delays each piece for a while, by a sixteenth of it.
+func (p *proxy) delayFor(length time.Duration) {
+	p.delay.Store(int64(length / 16))
+	time.Sleep(length)
+	p.delay.Store(0)
+}
+
+// cutFor drops the pieces of one way for a while.
+func (p *proxy) cutFor(w way, length time.Duration) {
+	p.cut[w].Store(true)
+	time.Sleep(length)
+	p.cut[w].Store(false)
+}
+
 func (p *proxy) stop() {
 	if p.listener != nil {
 		p.listener.Close()
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// loseResponses makes the target lose the responses of some runs for a while.
+func (t *appTarget) loseResponses(d time.Duration) {
+	t.setLose(0.2)
+	time.Sleep(d)
+	t.setLose(0)
+}
+
+func (t *appTarget) setLose(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lose = share
+}
+
 // state adds what the target states about itself to a response. One that does not arrive
 // tells the daemon nothing.
 func (t *appTarget) state(h http.Header, arrived time.Time, arrives bool) {
