spread: a daemon without a version asks peers before it reads the store

Cause: a restarted daemon that had joined read the store when its first read came due, and took what it returned, if no announcement had arrived by then. Change: before its first read such a daemon fetches the versions of three random members over TCP and applies the latest; it asks again, four rounds at most, while none answers.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -12,6 +12,7 @@
 package spread
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -22,6 +23,7 @@
 	"pollenscale/core/invariant"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // Version is the number of a configuration version; 0 means none.
@@ -92,6 +94,14 @@
 // their version in this time.
 const listenTime = 2 * time.Second
 
+const (
+	// firstPeers is the number of peers that a daemon without a version asks for theirs
+	// before it reads the store, and maxFirstRounds how often it asks further ones if none
+	// answers.
+	firstPeers     = 3
+	maxFirstRounds = 4
+)
+
 // ErrNotNewer is returned for an update whose version is not later than the one in
 // force.
 var ErrNotNewer = errors.New("update is not newer than the version in force")
@@ -125,6 +135,9 @@
 	UpdateFrom func(Version) (Update, error)
 	// Fetch requests the result of UpdateFrom from the daemon at a peer address.
 	Fetch func(ctx context.Context, peerAddress string, after Version) (Update, error)
+	// Peers returns the peer addresses of up to n random members. Nil means that none is
+	// known.
+	Peers func(n int) []string
 	// ReadStore returns the update from a version to the latest one in the store,
 	// or an empty update if there is none. Nil disables reads of the store.
 	ReadStore func(ctx context.Context, after Version) (Update, error)
@@ -160,6 +173,9 @@
 	// answered; readWindow is the period over which its next read is spread.
 	unjoined   bool
 	readWindow time.Duration
+	// firstRounds counts the rounds in which no peer has answered a daemon without a
+	// version.
+	firstRounds int
 	retryAt    time.Time
 	retryPause time.Duration
 	counts     Counts
@@ -297,7 +313,7 @@
 	if address, ok := s.dueFetch(); ok {
 		s.fetch(ctx, address)
 	}
-	if s.dueRead() {
+	if s.dueRead() && s.askedPeers(ctx) {
 		s.read(ctx)
 	}
 	return s.nextStep()
@@ -378,6 +394,54 @@
 	return nil
 }
 
+// askedPeers makes a daemon without a version ask peers for theirs, and reports whether
+// the store may be read. Announcements of peers may be lost or late, and the store may
+// return an older version than the previous process of this daemon had in force.
+func (s *Spreader) askedPeers(ctx context.Context) bool {
+	if s.Peers == nil || s.Current().Version != 0 {
+		return true
+	}
+	peers := s.Peers(firstPeers)
+	if len(peers) == 0 || s.askPeers(ctx, peers) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstRounds++
+	if s.firstRounds >= maxFirstRounds {
+		return true
+	}
+	s.readAt = s.now().Add(minRetryPause + s.jitter(minReadInterval))
+	return false
+}
+
+// askPeers fetches the versions of the peers, applies the latest and reports whether one of
+// the peers has answered.
+func (s *Spreader) askPeers(ctx context.Context, peers []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	updates := make([]Update, len(peers))
+	answered := make([]bool, len(peers))
+	var group errgroup.Group
+	for i, address := range peers {
+		group.Go(func() error {
+			update, err := s.Fetch(ctx, address, 0)
+			updates[i], answered[i] = update, err == nil
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	latest := slices.MaxFunc(updates, func(a, b Update) int { return cmp.Compare(a.Head().Version, b.Head().Version) })
+	err := s.apply(ctx, latest)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.PeerFetches += len(peers)
+	if err != nil && !errors.Is(err, ErrNotNewer) {
+		s.counts.PeerFailures++
+	}
+	return slices.Contains(answered, true)
+}
+
 // readInterval returns the mean time between two reads of the store by one daemon.
 func (s *Spreader) readInterval() time.Duration {
 	d := time.Duration(s.Members()) * time.Second / StoreReadsPerSecond
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"os"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +54,8 @@
 			AtMilliseconds int
 		}
 		Peers   map[string]spread.Version
+		// Members are the peers that are known without an announcement.
+		Members []string
 		Store   int
 		Want    spread.Version
 		Fetches []string
@@ -63,10 +67,13 @@
 				is := is.New(t)
 				h := &configStub{head: spread.Head{Version: c.Current, Digest: "d"}}
 				fetches := []string{}
+				var mu sync.Mutex
 				s := &spread.Spreader{
 					Current: func() spread.Head { return h.head },
 					Apply:   h.apply,
 					Fetch: func(_ context.Context, peer string, _ spread.Version) (spread.Update, error) {
+						mu.Lock()
+						defer mu.Unlock()
 						fetches = append(fetches, peer)
 						if v, ok := c.Peers[peer]; ok {
 							return update(v), nil
@@ -78,6 +85,9 @@
 					Members:    func() int { return 10 },
 					Joined:     func() bool { return true },
 				}
+				if c.Members != nil {
+					s.Peers = func(n int) []string { return c.Members[:min(n, len(c.Members))] }
+				}
 				if c.Store != 0 {
 					s.ReadStore = func(context.Context, spread.Version) (spread.Update, error) {
 						if c.Store < 0 {
@@ -98,6 +108,9 @@
 				}
 				is.True(errors.Is(s.Run(ctx), context.DeadlineExceeded))
 				is.Equal(h.head.Version, c.Want)
+				if c.Members != nil {
+					slices.Sort(fetches) // peers without an announcement are asked concurrently
+				}
 				is.Equal(fetches, c.Fetches)
 				for _, v := range h.announced {
 					is.True(v != invalid) // a refused version is never announced
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,6 +196,7 @@
 	d.config.spreader.Members = d.members.list.Size
 	d.config.spreader.Joined = d.joined
 	d.config.spreader.SameRegion = d.members.inOwnRegion
+	d.config.spreader.Peers = d.members.randomPeers
 }
 
 func (d *Daemon) buildTargetSide() {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -167,6 +167,19 @@
 	return false
 }
 
+// randomPeers returns the peer addresses of up to n random members.
+func (m *members) randomPeers(n int) []string {
+	records := m.list.All()
+	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	var peers []string
+	for _, r := range records {
+		if len(peers) < n && r.PeerAddress != "" && r.Daemon != m.self.Daemon {
+			peers = append(peers, r.PeerAddress)
+		}
+	}
+	return peers
+}
+
 // daemonsInRegion returns the number of daemons in the own region, this one included.
 func (m *members) daemonsInRegion() int {
 	n := 1
