daemon: serve callers once the targets are known

Cause: an entry that has just restarted accepted callers before it had joined, and the first request for a service found no target, because the details of a service are fetched after the first request for it. Change: callers are served after the join, or after 2 s; requests for a service that was just subscribed wait up to 1 s for its targets.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -276,10 +276,16 @@
 	d.meters.countAttempt(r)
 }
 
-// chooseTarget subscribes to the service and chooses a target of it.
+// chooseTarget subscribes to the service and chooses a target of it. The first requests
+// for a service wait until its targets are known.
 func (d *Daemon) chooseTarget(ctx context.Context, c dispatch.TargetRequest) (fleet.Target, error) {
 	d.members.subscribe(c.Request.Service)
-	return d.loadControl.chooseTarget(ctx, c)
+	for {
+		target, err := d.loadControl.chooseTarget(ctx, c)
+		if err == nil || !d.members.awaitsDetails(c.Request.Service) || !wait.For(ctx, joinPollInterval) {
+			return target, err
+		}
+	}
 }
 
 // buildStoreComponents creates and wires the components that need the platform's
@@ -362,7 +368,7 @@
 	defer stop()
 	var g run.Group
 	d.addServerActor(&g, "peer", func() error { return d.PeerServer.Serve(d.peerListener) }, d.PeerServer.Close)
-	d.addServerActor(&g, "caller", func() error { return d.Caller.Serve(d.callerListener) }, d.Caller.Close)
+	d.addServerActor(&g, "caller", func() error { return d.serveCallers(background) }, d.Caller.Close)
 	if d.operatorListener != nil {
 		d.addServerActor(&g, "operator", func() error { return d.operatorServer.Serve(d.operatorListener) }, d.operatorServer.Close)
 	}
@@ -387,6 +393,26 @@
 	return err
 }
 
+const (
+	// joinWait limits how long a daemon lets callers wait until it has joined the fleet.
+	joinWait = 2 * time.Second
+	// joinPollInterval is how often the daemon checks whether it has joined and knows the
+	// targets of a service.
+	joinPollInterval = 5 * time.Millisecond
+)
+
+// serveCallers serves callers once the daemon has joined, or after joinWait. Before that
+// it knows no targets, and would refuse requests that it can serve a moment later.
+// Connections of callers are accepted by the kernel in the meantime.
+func (d *Daemon) serveCallers(ctx context.Context) error {
+	for latest := time.Now().Add(joinWait); !d.joined() && time.Now().Before(latest); {
+		if !wait.For(ctx, joinPollInterval) {
+			break
+		}
+	}
+	return d.Caller.Serve(d.callerListener)
+}
+
 // backgroundTasks returns the loops that run until their context ends, concurrently
 // with the servers.
 func (d *Daemon) backgroundTasks() []func(context.Context) error {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -31,6 +31,9 @@
 	// exchangeTimeout bounds one exchange with a peer or one read of the configuration
 	// from the store.
 	exchangeTimeout = 5 * time.Second
+	// detailsWait is how long requests for a service that was just subscribed wait for the
+	// details of its targets, which take two exchanges with a member of it.
+	detailsWait = time.Second
 )
 
 // members connects the membership list with its transports and with the components
@@ -50,6 +53,9 @@
 
 	mu         sync.Mutex
 	subscribed map[fleet.Service]bool
+	// detailsDue holds when the targets of a service that was subscribed are known at the
+	// latest.
+	detailsDue map[fleet.Service]time.Time
 	// state is the state of the own target.
 	state fleet.State
 }
@@ -61,6 +67,7 @@
 		peerClient: client,
 		state:      fleet.Cold,
 		subscribed: map[fleet.Service]bool{self.Service: true},
+		detailsDue: map[fleet.Service]time.Time{},
 	}
 	record := self
 	record.State = fleet.Cold
@@ -107,6 +114,9 @@
 	m.mu.Lock()
 	known := m.subscribed[service]
 	m.subscribed[service] = true
+	if !known {
+		m.detailsDue[service] = time.Now().Add(detailsWait)
+	}
 	m.mu.Unlock()
 	if known {
 		return
@@ -115,6 +125,14 @@
 	m.updateTargets()
 }
 
+// awaitsDetails reports whether the service was subscribed so recently that its targets
+// may not be known yet.
+func (m *members) awaitsDetails(service fleet.Service) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.detailsDue[service])
+}
+
 // setState announces the state of the own target.
 func (m *members) setState(state fleet.State) {
 	m.mu.Lock()
