retry: count the calls of repeated runs in the fleet's retry budget

A restarted process also spent its part of the extra retries a second time, and the window was counted in tenths, so that up to a tenth of a window was left out. Change: an attempt says whether it is a repeat; the daemon beside the target knows which of its runs are repeats and asks the budget before it sends their calls; a repeat whose calls the budgets cannot afford is refused before it runs. A retry that was granted and did not reach a target is given back. The part of the extra retries is spent from one window after the start, by the largest number of daemons of the window. 0.95 of the limits is spent, in place of 0.8 and 0.5.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -17,6 +17,9 @@
 // Request is the metadata in the header of a client's request.
 type Request struct {
 	ID RequestID
+	// Parent is the request whose run made this call, empty if it is unknown or a client
+	// sent the request.
+	Parent RequestID
 	// Deadline is when the client stops waiting, or zero if not specified.
 	Deadline time.Time
 }
--- a/core/retry/fleet.go
+++ b/core/retry/fleet.go
@@ -19,35 +19,55 @@
 }
 
 const (
-	// ratioShare and extraShare are the shares of the fleet's limits that daemons
-	// spend. The rest covers retries that no daemon counts as such: attempts that
-	// targets reject, and nested calls of a retried request.
-	ratioShare = 0.8
-	extraShare = 0.5
-	// windowSlices is the number of slices of a window that are counted
-	// separately.
-	windowSlices = 10
+	// spentShare is the share of the fleet's limits that daemons spend. The rest covers
+	// retries that arrive at their targets later than they were granted, so that those
+	// of more than one window arrive within one.
+	spentShare = 0.95
+	// requestShare is the part of the budget that retries of requests may spend if there
+	// are calls of repeated runs, whose refusal wastes the work of the run.
+	requestShare = 0.9
+	// windowSlices is the number of slices of a window that are counted separately. One
+	// more is kept, so that the slices together always cover a whole window.
+	windowSlices = 20
 )
 
 // enforceFleetBudget is a mechanism that tests can switch off.
 var enforceFleetBudget = mutant.New("retry/shared-budget")
 
+// slice holds what was counted in one part of the window.
+type slice struct {
+	requests float64
+	retries  float64
+	calls    float64 // the retries that are calls of repeated runs
+	daemons  int     // the largest number of daemons
+}
+
 // FleetBudget bounds the retries of one service at one daemon, so that the daemons
 // together keep the fleet's limits without communication between them. Requests
-// and retries are counted over a sliding window.
+// and retries are counted over a sliding window. A retry is an arrival at a target beyond
+// the first one of its request; each arrival of a call of a repeated run is one too.
 type FleetBudget struct {
 	// Now returns the current time, time.Now by default.
 	Now func() time.Time
-	// Daemons returns the number of daemons among which ExtraRetries is divided.
+	// Daemons returns the number of daemons among which ExtraRetries is divided, 0 if it is
+	// not known.
 	Daemons func() int
+	// ExtraFrom is when this daemon may spend its part of ExtraRetries. The process before
+	// it may have spent that part within the same window.
+	ExtraFrom time.Time
 
 	limits FleetLimits
 
 	mu         sync.Mutex
 	sliceStart time.Time // start of the newest slice
 	current    int
-	requests   [windowSlices]float64
-	retries    [windowSlices]float64
+	slices     [windowSlices + 1]slice
+	counts     FleetCounts
+}
+
+// FleetCounts are totals since the start, for metrics.
+type FleetCounts struct {
+	Granted, Refused, Returned uint64
 }
 
 // NewFleetBudget returns a budget for one of the given number of daemons.
@@ -60,23 +80,108 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	b.requests[b.current]++
+	b.slices[b.current].requests++
 }
 
 // Allow reports whether an attempt may be retried, and if so counts the retry.
 func (b *FleetBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance()
-	requests, retries := sum(b.requests), sum(b.retries)
-	allowed := ratioShare*b.limits.Ratio*requests + extraShare*b.limits.ExtraRetries/float64(max(1, b.Daemons()))
-	if retries+1 > allowed && !enforceFleetBudget.Off() {
+	t := b.totals()
+	if t.calls > 0 {
+		t.allowed *= requestShare
+	}
+	return b.spend(t)
+}
+
+// AllowCall reports whether a call of a repeated run may be sent, and if so counts its
+// first arrival as a retry.
+func (b *FleetBudget) AllowCall() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	allowed := b.spend(b.totals())
+	if allowed {
+		b.slices[b.current].calls++
+	}
+	return allowed
+}
+
+// spend counts a retry if the totals allow it.
+func (b *FleetBudget) spend(t totals) bool {
+	if t.retries+1 > t.allowed && !enforceFleetBudget.Off() {
+		b.counts.Refused++
 		return false
 	}
-	b.retries[b.current]++
+	b.counts.Granted++
+	b.slices[b.current].retries++
 	return true
 }
 
+// Affords reports whether the budget has room for n more retries.
+func (b *FleetBudget) Affords(n float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.totals()
+	return t.retries+n <= t.allowed || enforceFleetBudget.Off()
+}
+
+// giveBack returns a retry that was granted and has not been sent to a target. The slice in
+// which it was granted is not known: taking it from the oldest one that holds a retry
+// makes the others expire late rather than early.
+func (b *FleetBudget) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	b.counts.Returned++
+	for i := range b.slices {
+		s := &b.slices[(b.current+1+i)%len(b.slices)]
+		if s.retries >= 1 {
+			s.retries--
+			return
+		}
+	}
+}
+
+// Counts returns the totals since the start.
+func (b *FleetBudget) Counts() FleetCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// totals are the counts of a window.
+type totals struct {
+	retries, calls float64
+	allowed        float64
+}
+
+// totals returns the retries within the window and the number that is allowed. The
+// requests are those of less than a window, the retries those of more.
+func (b *FleetBudget) totals() totals {
+	b.advance()
+	known := b.Daemons()
+	daemons := known
+	b.slices[b.current].daemons = max(b.slices[b.current].daemons, daemons)
+	oldest := (b.current + 1) % len(b.slices)
+	var t totals
+	requests := 0.0
+	for i, s := range b.slices {
+		t.retries += s.retries
+		t.calls += s.calls
+		// Daemons that have left may have spent their part within the window.
+		daemons = max(daemons, s.daemons)
+		if i != oldest {
+			requests += s.requests
+		}
+	}
+	t.allowed = b.limits.Ratio * requests
+	if known > 0 && !b.Now().Before(b.ExtraFrom) {
+		t.allowed += b.limits.ExtraRetries / float64(daemons)
+	}
+	t.allowed *= spentShare
+	return t
+}
+
 // advance moves the window so that the newest slice covers the current time.
 func (b *FleetBudget) advance() {
 	now := b.Now()
@@ -84,22 +189,14 @@
 	if width <= 0 {
 		return
 	}
-	if now.Sub(b.sliceStart) > b.limits.Window+width {
-		b.requests, b.retries = [windowSlices]float64{}, [windowSlices]float64{}
+	if now.Sub(b.sliceStart) > b.limits.Window+2*width {
+		b.slices = [windowSlices + 1]slice{}
 		b.sliceStart = now
 		return
 	}
 	for now.Sub(b.sliceStart) >= width {
-		b.current = (b.current + 1) % windowSlices
-		b.requests[b.current], b.retries[b.current] = 0, 0
+		b.current = (b.current + 1) % len(b.slices)
+		b.slices[b.current] = slice{}
 		b.sliceStart = b.sliceStart.Add(width)
 	}
 }
-
-func sum(v [windowSlices]float64) float64 {
-	total := 0.0
-	for _, x := range v {
-		total += x
-	}
-	return total
-}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -176,9 +176,9 @@
 	// firstRounds counts the rounds in which no peer has answered a daemon without a
 	// version.
 	firstRounds int
-	retryAt    time.Time
-	retryPause time.Duration
-	counts     Counts
+	retryAt     time.Time
+	retryPause  time.Duration
+	counts      Counts
 }
 
 // Counts are totals since the start, for metrics.
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -53,7 +53,7 @@
 			Version        spread.Version
 			AtMilliseconds int
 		}
-		Peers   map[string]spread.Version
+		Peers map[string]spread.Version
 		// Members are the peers that are known without an announcement.
 		Members []string
 		Store   int
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -16,11 +16,20 @@
 // Mbit/s.
 const bulkThreshold = 16 << 10
 
+// retryWindowParts is the part of the budget's window after which a request that found no
+// retries left may find some.
+const retryWindowParts = 20
+
 // dispatch obtains a response: it picks targets and sends attempts until one of them
 // responds or no further attempt is allowed.
 func (s *Sidecar) dispatch(ctx context.Context, q *request) (*response, *outcome.Error) {
 	budget := s.retryBudget(q.service)
 	budget.RecordRequest()
+	grant := budget.NewGrant()
+	defer grant.Close()
+	if q.callOfRepeat && !grant.TakeCall() {
+		return nil, s.errNoRetriesLeft()
+	}
 	serviceTime := s.serviceTimes.Estimate(q.route.Name)
 	var last *outcome.Error
 	for {
@@ -34,13 +43,16 @@
 		resp, result := s.attempt(ctx, q, c, serviceTime)
 		s.chooser.Done(c, choiceResult(resp, result))
 		s.meters.attempted(outcomeOf(result.err)).Inc()
+		if reachedTarget(resp, result) {
+			grant.Use()
+		}
 		if resp != nil && !q.worthRetrying(resp) {
 			s.observeServiceTime(q, resp)
 			return resp, nil
 		}
 		last = result.err
 		final := c.StartBy.IsZero()
-		if !s.mayRetry(ctx, q, resp, result, final) || q.countAttempt(resp, result) && !budget.Allow() {
+		if !s.mayRetry(ctx, q, resp, result, final) || q.countAttempt(resp, result) && !grant.Take() {
 			return resp, last
 		}
 		s.log.Info("entry: tries again.", "request", q.ID, "target", c.Target.Daemon, "outcome", outcomeOf(result.err),
@@ -86,10 +98,23 @@
 	}
 }
 
+// errNoRetriesLeft is the result of a request for which the retry budget of its service has
+// no room.
+func (s *Sidecar) errNoRetriesLeft() *outcome.Error {
+	err := outcome.New(outcome.NotRun, outcome.Overloaded, "no retries left for the call of a repeated run")
+	err.RetryAt = s.now().Add(s.settings.Load().RetryBudget.Window / retryWindowParts)
+	return err
+}
+
+// reachedTarget reports whether the attempt arrived at a target, or may have.
+func reachedTarget(resp *response, result attemptResult) bool {
+	return resp != nil || result.err.Outcome != outcome.NotRun || result.refusedByTarget
+}
+
 // countAttempt counts an attempt without a usable response. It reports whether the
 // attempt reached a target, so that a further one counts as a retry.
 func (q *request) countAttempt(resp *response, result attemptResult) bool {
-	if resp == nil && result.err.Outcome == outcome.NotRun && !result.refusedByTarget {
+	if !reachedTarget(resp, result) {
 		q.redirects++
 		return false
 	}
--- a/internal/sidecar/dispatch_test.go
+++ b/internal/sidecar/dispatch_test.go
@@ -60,6 +60,8 @@
 func TestExtraRetriesWithoutRecords(t *testing.T) {
 	is := is.New(t)
 	s := New(Settings{ListenPeers: "127.0.0.1:1", RetryBudget: retry.FleetLimits{Ratio: 0.2, ExtraRetries: 58, Window: 10 * time.Second}}, Protocol{})
+	now := s.startedAt
+	s.now = func() time.Time { return now }
 	s.roster.Merge(s.ownRecord())
 	is.True(!s.retryBudget("agenda").Allow())
 	for range 10 {
@@ -68,6 +70,11 @@
 	is.True(s.retryBudget("agenda").Allow()) // by the ratio
 	is.True(!s.retryBudget("agenda").Allow())
 	s.joined.Store(true)
+	is.True(!s.retryBudget("agenda").Allow()) // the process before may have spent the extra retries
+	now = now.Add(12 * time.Second)
+	s.joined.Store(false)
+	is.True(!s.retryBudget("agenda").Allow())
+	s.joined.Store(true)
 	is.True(s.retryBudget("agenda").Allow())
 }
 
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -45,6 +45,8 @@
 	tried      []fleet.DaemonID
 	hint       fleet.DaemonID // daemon that the latest refusal recommended
 	mayHaveRun bool           // an attempt reached a target that did not refuse it
+	// callOfRepeat is set if the request is a call of a run that is itself a retry.
+	callOfRepeat bool
 }
 
 // serveCaller serves requests of clients and of the target beside the daemon.
@@ -100,6 +102,7 @@
 		host: r.Host, header: forwardedHeaders(r.Header), length: r.ContentLength, arrivedAt: now,
 	}
 	q.service = matched.Pick(string(q.ID))
+	q.callOfRepeat = s.lineage.Call(q.Parent, q.service)
 	q.deadline = now.Add(matched.Timeout)
 	if !q.Deadline.IsZero() && q.Deadline.Before(q.deadline) {
 		q.deadline = q.Deadline
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -38,6 +38,9 @@
 	headerLoad = "Pollenscale-Load"
 	// headerWork holds the service time of the request at the target, in microseconds.
 	headerWork = "Pollenscale-Work"
+	// headerRepeat is set on attempts whose arrival at the target is a retry, or part of
+	// one.
+	headerRepeat = "Pollenscale-Repeat"
 	// headerCall is set on calls between daemons other than attempts.
 	headerCall = "Pollenscale-Call"
 )
@@ -66,6 +69,9 @@
 	objective time.Time
 	// fingerprint identifies the request, also when its client sends it again.
 	fingerprint poison.Fingerprint
+	// repeat is set if the arrival at the target is a retry, or the request a call of a
+	// repeated run.
+	repeat bool
 }
 
 func writeAttempt(h http.Header, ref attempt.Ref) {
@@ -101,6 +107,9 @@
 		strconv.FormatBool(params.idempotent), strconv.FormatInt(params.serviceTime.Microseconds(), 10), formatOffset(params.objective, now),
 		strconv.FormatUint(uint64(params.fingerprint), 16),
 	}, " ")}
+	if params.repeat {
+		h[headerRepeat] = []string{"1"}
+	}
 }
 
 // formatOffset formats a time as microseconds from now, -1 for the zero time.
@@ -137,6 +146,7 @@
 		service: fleet.Service(f[0]), priority: priority, caller: fleet.Service(f[2]),
 		deadline: now.Add(time.Duration(left) * time.Microsecond), startBy: startBy, idempotent: f[5] == "true",
 		serviceTime: time.Duration(serviceTime) * time.Microsecond, objective: objective, fingerprint: poison.Fingerprint(fingerprint),
+		repeat: h.Get(headerRepeat) != "",
 	}, true
 }
 
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
+	"pollenscale/core/retry"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -72,6 +74,17 @@
 	m.set.GetOrCreateHistogram(`pollenscale_request_seconds{service="` + string(q.service) + `"}`).Update(now.Sub(q.arrivedAt).Seconds())
 }
 
+// exportRetries adds the totals of the retry budget of a service.
+func (m meters) exportRetries(service fleet.Service, b *retry.FleetBudget) {
+	export := func(verdict string, value func(retry.FleetCounts) uint64) {
+		name := `pollenscale_retries_total{service="` + string(service) + `",verdict="` + verdict + `"}`
+		m.set.GetOrCreateGauge(name, func() float64 { return float64(value(b.Counts())) })
+	}
+	export("granted", func(c retry.FleetCounts) uint64 { return c.Granted })
+	export("refused", func(c retry.FleetCounts) uint64 { return c.Refused })
+	export("returned", func(c retry.FleetCounts) uint64 { return c.Returned })
+}
+
 // serveMetrics writes all metrics in the Prometheus text format.
 func (s *Sidecar) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	s.meters.set.WritePrometheus(w)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +65,7 @@
 	probeGroup      singleflight.Group
 	slowdownStarted chan struct{} // wakes probeWhileSlowed
 	targetReport    targetReport
+	lineage         retry.Lineage
 
 	mu           sync.Mutex
 	peerPools    map[string]*http1.Pool
@@ -256,8 +256,11 @@
 	defer s.mu.Unlock()
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = retry.NewFleetBudget(s.settings.Load().RetryBudget, s.budgetShares)
+		limits := s.settings.Load().RetryBudget
+		b = retry.NewFleetBudget(limits, s.budgetShares)
+		b.Now, b.ExtraFrom = s.now, s.startedAt.Add(limits.Window)
 		s.retryBudgets[service] = b
+		s.meters.exportRetries(service, b)
 	}
 	return b
 }
@@ -267,7 +270,7 @@
 // number and uses none of the extra retries.
 func (s *Sidecar) budgetShares() int {
 	if !s.joined.Load() {
-		return math.MaxInt
+		return 0
 	}
 	return s.roster.Len()
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -21,6 +21,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// minCallsPerRun is the mean number of calls to a service from which a run counts as one
+// that calls it.
+const minCallsPerRun = 0.2
+
 // priorityCount is the number of ranks that the queue of a target distinguishes.
 const priorityCount = 4
 
@@ -68,6 +72,9 @@
 	if err := s.checkTarget(s.localTarget.View(), a); err != nil {
 		return nil, s.refuse(a, err)
 	}
+	if err := s.checkRepeat(a); err != nil {
+		return nil, s.refuse(a, err)
+	}
 	done, err := s.contactTarget(ctx)
 	if err != nil {
 		return nil, s.refuse(a, err)
@@ -83,7 +90,9 @@
 		return nil, s.refuse(a, err)
 	}
 	started := s.now()
+	endLineage := s.lineage.Begin(a.id, a.params.repeat)
 	resp, result := s.forwardToTarget(ctx, a, view)
+	endLineage()
 	took := s.now().Sub(started)
 	s.endRun(ctx, run, result)
 	releaseSlot(ticket, resp, result)
@@ -202,6 +211,20 @@
 	return nil
 }
 
+// checkRepeat refuses a repeat if the retry budgets have no room for the calls that its run
+// is expected to make: the run would fail at them.
+func (s *Sidecar) checkRepeat(a *localAttempt) *outcome.Error {
+	if !a.params.repeat {
+		return nil
+	}
+	for service, calls := range s.lineage.CallsPerRun() {
+		if calls > minCallsPerRun && !s.retryBudget(service).Affords(calls) {
+			return outcome.New(outcome.NotRun, outcome.Overloaded, "no retries left for the calls of a repeated run")
+		}
+	}
+	return nil
+}
+
 // refuse logs and counts a request that is not sent to the target, and returns its
 // result.
 func (s *Sidecar) refuse(a *localAttempt, e *outcome.Error) attemptResult {
