http1: notice the close of a connection with pipelined requests

Cause: net/http watches for the close of a client's connection by a read of one byte, and stops as soon as that byte is of a later request. A client that had sent further requests and closed the connection was not noticed: the work at the target went on, and the later requests ran. Change: the callers' listener reads ahead (64 KB at most) once a later request has arrived during one, and cancels the request in progress when the connection ends. What was read ahead is dropped then.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -12,6 +12,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/route"
+	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
 )
@@ -67,11 +68,14 @@
 		http.Error(w, detail, status)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	client, gone := context.WithCancel(r.Context())
+	defer gone()
+	defer http1.CancelOnClose(client, gone)()
+	ctx, cancel := context.WithDeadline(client, q.deadline)
 	defer cancel()
 	resp, err := s.dispatch(ctx, q)
 	if err != nil {
-		s.writeFailure(w, r, q, err)
+		s.writeFailure(client, w, q, err)
 		return
 	}
 	now = s.now()
@@ -137,7 +141,8 @@
 }
 
 // writeFailure sends the error response for a request that no target responded to.
-func (s *Sidecar) writeFailure(w http.ResponseWriter, r *http.Request, q *request, err *outcome.Error) {
+// The context is that of the client.
+func (s *Sidecar) writeFailure(ctx context.Context, w http.ResponseWriter, q *request, err *outcome.Error) {
 	now := s.now()
 	status := http.StatusBadGateway
 	switch {
@@ -152,7 +157,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	s.meters.completed(q, status, now)
-	if r.Context().Err() != nil {
+	if ctx.Err() != nil {
 		s.log.Info("entry: client has gone.", "request", q.ID, "route", q.route.Name, "outcome", err.Outcome, "waited", now.Sub(q.arrivedAt))
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"pollenscale/io/http1"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -18,10 +20,7 @@
 // listen opens the listeners of all interfaces, or none if one of them cannot be opened. A
 // metrics port that is taken is logged and left out.
 func (s *Sidecar) listen(settings *Settings) ([]server, error) {
-	callers := &http.Server{
-		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes: defaultHeaderBytes, IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true,
-	}
+	callers := s.callerServer()
 	parts := []struct {
 		address string
 		server  *http.Server
@@ -42,12 +41,24 @@
 		if err != nil {
 			return nil, errors.CombineErrors(err, closeListeners(servers))
 		}
+		if tcp, ok := listener.(*net.TCPListener); ok && p.server == callers {
+			listener = http1.Listener{TCPListener: tcp}
+		}
 		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
 		servers = append(servers, server{Server: p.server, listener: listener})
 	}
 	return servers, nil
 }
 
+// callerServer returns the server for clients and for the target beside the daemon. Its
+// listener is an http1.Listener.
+func (s *Sidecar) callerServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: defaultHeaderTimeout, ConnContext: http1.ConnContext,
+		MaxHeaderBytes: defaultHeaderBytes, IdleTimeout: callerIdleTimeout, DisableGeneralOptionsHandler: true,
+	}
+}
+
 // localServer returns a server for short calls from the VM and the platform.
 func localServer(handler http.HandlerFunc) *http.Server {
 	return &http.Server{Handler: handler, ReadTimeout: localReadTimeout, IdleTimeout: callerIdleTimeout}
--- a/internal/sidecar/response_test.go
+++ b/internal/sidecar/response_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"pollenscale/core/exchange"
 	"pollenscale/core/route"
+	"pollenscale/io/http1"
 
 	"github.com/matryer/is"
 )
@@ -54,7 +56,12 @@
 		p.entry = start(Settings{ListenPeers: "127.0.0.1:1"})
 	}
 	p.entry.roster.Merge(p.beside.ownRecord())
-	p.url = server(p.entry.serveCaller).URL + "/slots/1"
+	callers := httptest.NewUnstartedServer(nil)
+	callers.Config = p.entry.callerServer()
+	callers.Listener = http1.Listener{TCPListener: callers.Listener.(*net.TCPListener)}
+	callers.Start()
+	t.Cleanup(callers.Close)
+	p.url = callers.URL + "/slots/1"
 	return &p
 }
 
--- /dev/null
+++ b/io/http1/watch.go
@@ -0,0 +1,152 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+
+	"pollenscale/internal/mutant"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// watchPipelined is a mechanism that tests can switch off.
+var watchPipelined = mutant.New("http1/watch-pipelined")
+
+// maxReadAhead limits the bytes of later requests that are read during a request. The close
+// of a connection with more of them is noticed after the request.
+const maxReadAhead = 64 << 10
+
+// Listener accepts connections of clients that may send further requests before the first
+// one has been answered (pipelining). A net/http server stops watching for the close of a
+// connection as soon as a byte of a later request has arrived; these connections go on.
+type Listener struct {
+	*net.TCPListener
+}
+
+// Accept returns the next connection, which is a *ClientConn.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	watched := &ClientConn{TCPConn: c}
+	watched.changed.L = &watched.mu
+	return watched, nil
+}
+
+// ClientConn is a connection of a client.
+type ClientConn struct {
+	*net.TCPConn
+
+	mu      sync.Mutex
+	changed sync.Cond
+	ahead   []byte // read ahead and not yet returned by Read
+	err     error  // ended the connection
+	reading bool   // the read-ahead is running
+	onGone  func()
+	group   errgroup.Group
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext adds the connection to the context of its requests. It is meant for
+// http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// CancelOnClose calls cancel when the client closes the connection of the request with the
+// context. The caller calls the returned function at the end of the request.
+func CancelOnClose(ctx context.Context, cancel func()) (stop func()) {
+	c, ok := ctx.Value(connKey{}).(*ClientConn)
+	if !ok {
+		return func() {}
+	}
+	c.setOnGone(cancel)
+	return func() { c.setOnGone(nil) }
+}
+
+func (c *ClientConn) setOnGone(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onGone = f
+	if c.err != nil && f != nil {
+		f()
+	}
+}
+
+// Read reads from the connection. A net/http server waits for the close of a connection
+// during a request by a read of a single byte. If that read returns a byte of a later
+// request, the read-ahead takes over.
+func (c *ClientConn) Read(p []byte) (int, error) {
+	if n, err, done := c.readAhead(p); done {
+		return n, err
+	}
+	n, err := c.TCPConn.Read(p)
+	if len(p) == 1 && n == 1 && err == nil && !watchPipelined.Off() {
+		c.startReadAhead()
+	}
+	return n, err
+}
+
+// readAhead returns bytes that were read ahead. It reports done = false if there are none
+// and the read-ahead is not running.
+func (c *ClientConn) readAhead(p []byte) (n int, err error, done bool) { //nolint:revive // done qualifies the results of a read
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.ahead) == 0 && c.reading {
+		c.changed.Wait()
+	}
+	if c.err != nil {
+		// The client has gone; nobody reads the responses to its later requests.
+		return 0, c.err, true
+	}
+	if len(c.ahead) == 0 {
+		return 0, nil, false
+	}
+	n = copy(p, c.ahead)
+	c.ahead = c.ahead[n:]
+	return n, nil, true
+}
+
+func (c *ClientConn) startReadAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		return
+	}
+	c.reading = true
+	c.group.Go(c.runReadAhead)
+}
+
+// runReadAhead reads until the connection ends, a read deadline passes or maxReadAhead is
+// reached.
+func (c *ClientConn) runReadAhead() error {
+	buffer := make([]byte, connBufferBytes)
+	for {
+		n, err := c.TCPConn.Read(buffer)
+		if !c.addAhead(buffer[:n], err) {
+			return nil
+		}
+	}
+}
+
+// addAhead stores the result of a read and reports whether the read-ahead goes on.
+func (c *ClientConn) addAhead(b []byte, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = append(c.ahead, b...)
+	c.reading = err == nil && len(c.ahead) < maxReadAhead
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.err = err
+		if c.onGone != nil {
+			c.onGone()
+		}
+	}
+	c.changed.Broadcast()
+	return c.reading
+}
