sidecar: odd entries of other writers hide nothing and replace nobody

Cause: a record in the store was taken as it came if it was JSON of the right types. One with a port out of range, an unknown state or an incarnation in the far future counted as a daemon, got requests, and hid the record of the daemon whose key it had. A row that was replaced was not written again. TestRemoveRow got a real address, since its record would count as odd now; what it checks is unchanged.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -35,6 +35,7 @@
 		err = s.checkService(call.Heartbeat.Service)
 	}
 	if err != nil {
+		s.meters.invalid("target").Inc()
 		s.log.Warn("target: call rejected.", "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/sidecar/fetch.go
+++ b/internal/sidecar/fetch.go
@@ -114,6 +114,11 @@
 		return err
 	}
 	for _, record := range got.Records {
+		if err := record.Validate(s.now()); err != nil {
+			s.meters.invalid("snapshot").Inc()
+			s.log.Warn("member: invalid record ignored.", "daemon", record.Daemon, "from", address, "error", err)
+			continue
+		}
 		if record.Daemon == s.id {
 			s.applyPeerRecord(record)
 			continue
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -40,6 +40,11 @@
 // record on, corrects a sender with an outdated record, responds to new daemons, and
 // fetches newer state.
 func (s *Sidecar) handleMessage(m announce.Message) {
+	if err := m.From.Validate(s.now()); err != nil {
+		s.meters.invalid("datagram").Inc()
+		s.log.Warn("member: invalid record ignored.", "daemon", m.From.Daemon, "error", err)
+		return
+	}
 	if m.From.Daemon == s.id {
 		s.applyPeerRecord(m.From)
 		return
@@ -135,9 +140,10 @@
 	}
 }
 
-// readMembers reads and merges the records in the store.
+// readMembers reads and merges the records in the store. If another writer has replaced
+// or removed the own record, it is written again.
 func (s *Sidecar) readMembers(ctx context.Context) bool {
-	after := ""
+	after, ownFound := "", false
 	for {
 		rows, err := s.tables.List(ctx, membersTable, "", after, listPageSize)
 		if err != nil {
@@ -147,19 +153,34 @@
 		s.meters.store.reportRegained(s.log)
 		for _, row := range rows {
 			s.mergeRow(ctx, row)
+			ownFound = ownFound || s.isOwnRow(row)
 			after = row.Key
 		}
 		if len(rows) < listPageSize {
+			if !ownFound {
+				s.log.Warn("member: own record missing in the store.", "daemon", s.id)
+				s.wakePublisher()
+			}
 			return true
 		}
 	}
 }
 
+// isOwnRow reports whether the row holds a record of this process.
+func (s *Sidecar) isOwnRow(row store.Row) bool {
+	if row.Key != string(s.id) {
+		return false
+	}
+	r, err := s.decodeRecord(row)
+	return err == nil && r.Incarnation == s.incarnation()
+}
+
 // mergeRow merges the record in a row, and removes the row of a daemon that is
 // permanently gone.
 func (s *Sidecar) mergeRow(ctx context.Context, row store.Row) {
-	r, err := decodeRecord(row)
+	r, err := s.decodeRecord(row)
 	if err != nil {
+		s.meters.invalid("row").Inc()
 		s.log.Warn("member: invalid row ignored.", "key", row.Key, "version", row.Version, "error", err)
 		return
 	}
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -15,6 +15,7 @@
 	"pollenscale/standin/memstore"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // TestRestoredRecordIsNewer guards against daemons that keep treating a restarted
@@ -87,7 +88,7 @@
 	tables := memstore.New().Tables()
 	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{}, WithTables(tables))
 	s.watching.Store(true)
-	gone := roster.Record{Daemon: "gone", Incarnation: 5, PeerAddress: "p"}
+	gone := roster.Record{Daemon: "gone", Incarnation: 5, PeerAddress: "127.0.0.1:9"}
 	write := func(r roster.Record, version store.Version) store.Version {
 		value, err := json.Marshal(r)
 		is.NoErr(err)
@@ -186,3 +187,43 @@
 		is.Equal(len(s.publisher.waiters), 0)
 	}
 }
+
+// TestOwnRecordReplaced guards against a daemon that new daemons never find since another
+// writer has replaced or removed its record in the store.
+func TestOwnRecordReplaced(t *testing.T) {
+	is := is.New(t)
+	tables := memstore.New().Tables()
+	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{}, WithTables(tables))
+	is.True(s.writeRecord(t.Context()))
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return s.publishChanges(ctx) })
+	defer func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}()
+	key := string(s.id)
+	for _, odd := range []store.Write{
+		{Table: membersTable, Key: key, Value: []byte("[[[[")},
+		{Table: membersTable, Key: key, Value: []byte(`{"Daemon":"127.0.0.1:1","Incarnation":7,"PeerAddress":"127.0.0.1:70000"}`)},
+		{Table: membersTable, Key: key, Delete: true},
+	} {
+		_, err := tables.Transact(t.Context(), store.Transaction{Writes: []store.Write{odd}})
+		is.NoErr(err)
+		is.True(s.readMembers(t.Context()))
+		is.True(becomesTrue(2*time.Second, func() bool {
+			row, _, err := tables.Read(t.Context(), membersTable, key)
+			return err == nil && s.isOwnRow(row)
+		})) // the record is written again
+	}
+}
+
+// becomesTrue reports whether f returns true within the time.
+func becomesTrue(limit time.Duration, f func() bool) bool {
+	for end := time.Now().Add(limit); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/sidecar/meters.go
+++ b/internal/sidecar/meters.go
@@ -51,6 +51,12 @@
 	return m.set.GetOrCreateCounter(`pollenscale_refusals_total{reason="` + string(reason) + `"}`)
 }
 
+// invalid returns the counter of entries that were ignored since no daemon or target can
+// have written them.
+func (m meters) invalid(source string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`pollenscale_invalid_entries_total{source="` + source + `"}`)
+}
+
 // attempted returns the counter of attempts that the entry made with the outcome.
 func (m meters) attempted(o outcome.Outcome) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`pollenscale_attempts_total{outcome="` + string(o) + `"}`)
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
@@ -16,10 +15,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxClockStep is the largest backward step of the system clock that is considered
-// possible.
-const maxClockStep = 366 * 24 * time.Hour
-
 // publisher holds the state of writing the own record to the store. A change that is
 // made during a write is written next.
 type publisher struct {
@@ -177,7 +172,8 @@
 	s.publisher.mu.Unlock()
 }
 
-func decodeRecord(row store.Row) (roster.Record, error) {
+// decodeRecord decodes the record in a row, which another writer may have left.
+func (s *Sidecar) decodeRecord(row store.Row) (roster.Record, error) {
 	var r roster.Record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return r, err
@@ -185,14 +181,15 @@
 	if string(r.Daemon) != row.Key {
 		return r, errors.Newf("record of daemon %q does not match the key of its row", r.Daemon)
 	}
-	return r, nil
+	return r, r.Validate(s.now())
 }
 
 // applyOwnRow applies the record that an earlier process of this daemon has left in the
 // store.
 func (s *Sidecar) applyOwnRow(row store.Row) {
-	r, err := decodeRecord(row)
+	r, err := s.decodeRecord(row)
 	if err != nil {
+		s.meters.invalid("row").Inc()
 		s.log.Warn("member: invalid own row ignored.", "version", row.Version, "error", err)
 		return
 	}
@@ -211,7 +208,7 @@
 // one.
 func (s *Sidecar) raiseIncarnation(earlier fleet.Incarnation) {
 	own := s.incarnation()
-	if earlier > own+fleet.Incarnation(maxClockStep) {
+	if earlier > own+fleet.Incarnation(roster.MaxClockStep) {
 		s.log.Error("daemon: record with an incarnation too far in the future ignored.", "incarnation", earlier, "own", own)
 		return
 	}
