http1: never send a request again on a connection that refused it

Cause: the response to a request is recognised by its id. A request that the target had refused was sent to it again on the same kept connection, so that a late copy of the refusal matched. The caller was told 'not run' while the target ran the request (REFUSED), and its next try ran it a second time (TWICE). Health probes took any response, also a late one to a request. Change: a connection remembers the requests refused on it and is not used for them again; after 32 it is retired. A probe takes only responses without a request id.

--- a/internal/sidecar/slowdown.go
+++ b/internal/sidecar/slowdown.go
@@ -71,6 +71,8 @@
 	s.targetReport.rate.Take(sent)
 	r, err := pool.Do(context.WithoutCancel(ctx), &http1.Request{
 		Method: http.MethodGet, Target: service.HealthPath, Host: pool.Address(), Deadline: sent.Add(probeTimeout),
+		// A late copy of the response to a request may arrive first.
+		Matches: func(h http.Header) bool { return s.protocol.ReadAnswer(0, h).ID == "" },
 	})
 	if err != nil {
 		// If one connection is silent, others usually are too.
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -244,7 +244,7 @@
 	}, now)
 	s.meters.targetRequests.Inc()
 	r, err := s.targetPool.Load().Do(ctx, &http1.Request{
-		Method: a.method, Target: a.uri, Host: a.host, Header: a.header, Body: a.body, Length: a.length,
+		Method: a.method, Key: string(a.id), Target: a.uri, Host: a.host, Header: a.header, Body: a.body, Length: a.length,
 		AvoidIdle: !a.params.idempotent, Deadline: a.params.deadline.Add(responseMargin),
 		Matches: func(h http.Header) bool { return a.id == "" || s.protocol.ReadAnswer(0, h).ID == a.id },
 	})
@@ -272,6 +272,7 @@
 
 // refusedByTarget returns the result of a request that the target states not to have run.
 func (s *Sidecar) refusedByTarget(r *http1.Response) attemptResult {
+	r.MarkRefused()
 	s.discard(r)
 	return attemptResult{
 		err:             outcome.New(outcome.NotRun, outcome.Overloaded, "the target did not run it: "+strconv.Itoa(r.Status)),
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -28,6 +28,7 @@
 	matchResponses   = mutant.New("http1/echoed-id")
 	closeOnCancel    = mutant.New("http1/close-cancelled")
 	retireAfterStale = mutant.New("http1/retire-after-stray-answer")
+	avoidRefused     = mutant.New("http1/avoid-refused")
 )
 
 const (
@@ -41,6 +42,9 @@
 	// maxResponses limits the responses that are read for one request, including
 	// interim ones and stale ones to earlier requests.
 	maxResponses = 4
+	// maxRefused limits the keys of refused requests that a connection remembers. It is not
+	// used again after more of them.
+	maxRefused = 32
 	// maxDiscardBytes limits the body of a stale response that is skipped.
 	maxDiscardBytes = 256 << 10
 )
@@ -52,6 +56,10 @@
 // Request is a request to send.
 type Request struct {
 	Method string
+	// Key identifies the request, also when it is sent again. It is not sent on a connection
+	// on which a request with the same key was refused: a copy of that refusal could arrive
+	// late and would match.
+	Key string
 	// Target is the request target, path and query, which is sent unchanged.
 	Target string
 	Host   string
@@ -82,6 +90,7 @@
 	// Reused is set if the connection was used for an earlier request.
 	Reused bool
 
+	key         string
 	body        io.ReadCloser
 	conn        *conn
 	stop        func() bool
@@ -106,6 +115,8 @@
 	cancelled atomic.Bool
 	// outOfSync is set after a stale response. The connection is not reused.
 	outOfSync bool
+	// refused holds the keys of the requests that were refused on the connection.
+	refused []string
 	// writing is set while a long body is being written, and stays set if that fails.
 	writing atomic.Bool
 	group   errgroup.Group
@@ -161,7 +172,7 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Reused: reused,
-		body: head.Body, conn: c, stop: stop, keepAlive: bodySent && !head.Close, idleTimeout: parseIdleTimeout(head.Header),
+		key: r.Key, body: head.Body, conn: c, stop: stop, keepAlive: bodySent && !head.Close, idleTimeout: parseIdleTimeout(head.Header),
 	}, nil
 }
 
@@ -334,6 +345,16 @@
 	return n, err
 }
 
+// MarkRefused records that the peer refused the request, which may be sent again.
+func (r *Response) MarkRefused() {
+	c := r.conn
+	if len(c.refused) >= maxRefused {
+		c.outOfSync = true
+		return
+	}
+	c.refused = append(c.refused, r.key)
+}
+
 // Close ends the exchange. The connection returns to the pool if the exchange was
 // complete, and is closed otherwise.
 func (r *Response) Close() error {
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -63,7 +64,7 @@
 // Do sends a request. An error marked ErrNotSent means that no byte of it was
 // sent; after any other error the request may have reached the peer.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.get(r.AvoidIdle)
+	c := p.get(r)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, r.Deadline); err != nil {
@@ -112,12 +113,12 @@
 	return errors.CombineErrors(err, failed)
 }
 
-// get returns the most recently used connection that can be reused, or nil if
-// there is none.
-func (p *Pool) get(avoidIdle bool) *conn {
+// get returns the most recently used connection that can be reused for the request, or nil
+// if there is none.
+func (p *Pool) get(r *Request) *conn {
 	now := time.Now()
 	for {
-		c := p.pop(avoidIdle, now)
+		c := p.pop(r, now)
 		if c == nil {
 			return nil
 		}
@@ -128,25 +129,32 @@
 	}
 }
 
-// pop removes and returns the most recently used connection. With avoidIdle it
-// returns nil if that one has been idle for more than maxShortIdle; the others
-// have been idle for longer.
-func (p *Pool) pop(avoidIdle bool, now time.Time) *conn {
+// pop removes and returns the most recently used connection on which the request was not
+// refused. With AvoidIdle it returns nil if that one has been idle for more than
+// maxShortIdle; the others have been idle for longer.
+func (p *Pool) pop(r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 || avoidIdle && now.Sub(p.idle[n-1].idleSince) > maxShortIdle {
+	i := len(p.idle) - 1
+	for i >= 0 && p.idle[i].hasRefused(r.Key) {
+		i--
+	}
+	if i < 0 || r.AvoidIdle && now.Sub(p.idle[i].idleSince) > maxShortIdle {
 		return nil
 	}
-	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
 	if p.idleLimitUntil.After(now) && now.Sub(c.idleSince) > p.idleLimit {
 		c.idleUntil = now
 	}
 	return c
 }
 
+// hasRefused reports whether a request with the key was refused on the connection.
+func (c *conn) hasRefused(key string) bool {
+	return key != "" && !avoidRefused.Off() && slices.Contains(c.refused, key)
+}
+
 // observeDrop records that the peer has dropped a connection that was idle for the
 // given time.
 func (p *Pool) observeDrop(idle time.Duration) {
