sidecar: answer the requests that were read when a planned stop ends

Cause: at the end of a planned stop the connections were closed at once when no request was in progress; a request read between the last check and the close was cut off without a response. Change: the servers for callers and peers close their listeners first, then each connection once the request that it has read is answered, callers before peers.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -152,6 +152,9 @@
 	clientDrainTime = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period that is left unused.
 	shutdownMargin = 400 * time.Millisecond
+	// gracefulServers is the number of servers, those for callers and peers, that complete
+	// the requests that they have read.
+	gracefulServers = 2
 	// idlePollInterval is how often shutdown checks whether requests are still in
 	// progress.
 	idlePollInterval = 20 * time.Millisecond
@@ -164,6 +167,22 @@
 	s.stopping.Store(true)
 }
 
+// closeServers closes the listeners for callers and peers, and then their connections, each
+// once the request that it has read is answered. Requests of callers need the connections
+// to peers, so that those are closed last.
+func (s *Sidecar) closeServers(ctx context.Context, end time.Time) {
+	if closeGracefully.Off() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, end.Add(shutdownMargin/2))
+	defer cancel()
+	for _, v := range s.servers[:min(gracefulServers, len(s.servers))] {
+		if err := v.Shutdown(ctx); err != nil {
+			s.log.Warn("daemon: closing a server took too long.", "address", v.listener.Addr(), "error", err)
+		}
+	}
+}
+
 // shutdown waits until the daemon can stop without interrupting requests: it publishes
 // that the daemon is leaving, serves open connections until the clients have left, and
 // lets requests in progress complete.
@@ -182,6 +201,7 @@
 			break
 		}
 	}
+	s.closeServers(ctx, end)
 	s.log.Info("daemon: drained.", "took", s.now().Sub(begun), "active", s.activeRequests.Load(), "served", s.activeAttempts.Load())
 	return nil
 }
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +18,16 @@
 	listener net.Listener
 }
 
+// serve serves until the server is closed. After a graceful shutdown of the server it
+// returns only when ctx ends: the first part of the daemon that returns ends all others.
+func (v server) serve(ctx context.Context) error {
+	if err := v.Serve(v.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // listen opens the listeners of all interfaces, or none if one of them cannot be opened. A
 // metrics port that is taken is logged and left out.
 func (s *Sidecar) listen(settings *Settings) ([]server, error) {
--- a/internal/sidecar/mechanisms.go
+++ b/internal/sidecar/mechanisms.go
@@ -10,5 +10,6 @@
 	honourLeaving            = mutant.New("sidecar/leaving-in-responses")
 	restoreDrain             = mutant.New("sidecar/restore-drain")
 	expireWithEra            = mutant.New("sidecar/expire-with-era")
+	closeGracefully          = mutant.New("sidecar/close-gracefully")
 	exceedEarlierIncarnation = mutant.New("sidecar/outlive-earlier-process")
 )
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -71,6 +71,7 @@
 	peerPools    map[string]*http1.Pool
 	retryBudgets map[fleet.Service]*retry.FleetBudget
 
+	servers        []server // callers first, then peers
 	publisher      publisher
 	storeEra       *storeEra
 	fetchRequests  chan fetchRequest // newer state to be read from other daemons
@@ -147,8 +148,10 @@
 	add := func(f func(context.Context) error) {
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
+	s.servers = servers
 	for _, v := range servers {
-		group.Add(func() error { return v.Serve(v.listener) }, func(error) {
+		group.Add(func() error { return v.serve(ctx) }, func(error) {
+			cancel()
 			if err := v.Close(); err != nil {
 				s.log.Warn("daemon: closing a listener failed.", "error", err)
 			}
