sidecar: reset the connection of a response that breaks off

Cause: to a caller with HTTP/1.0 a response of unknown length ends with its connection. When the target broke off behind the first 64 KB, the entry closed the connection in the usual way, and the caller took what it had for the whole response. Change: the connection of a response that cannot be completed is reset. Result: four of 36 cases of TestBrokenResponseLooksComplete (HTTP/1.0; chunked and ended by close; more than 64 KB sent) failed before, none does now. HTTP/1.1 held.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -85,6 +85,9 @@
 		"redirects", q.redirects, "version", s.config.Version())
 	if err := resp.writeTo(w, r.Method == http.MethodHead); err != nil {
 		s.log.Warn("entry: writing the response failed.", "request", q.ID, "error", err)
+		if err := http1.ResetOnClose(r.Context()); err != nil {
+			s.log.Debug("entry: the connection cannot be reset.", "request", q.ID, "error", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/http1/watch.go
+++ b/io/http1/watch.go
@@ -150,3 +150,14 @@
 	c.changed.Broadcast()
 	return c.reading
 }
+
+// ResetOnClose makes the close of the connection of the request with the context a reset. A
+// client to which a response without a length is sent recognises by it that the response is
+// not complete.
+func ResetOnClose(ctx context.Context) error {
+	c, ok := ctx.Value(connKey{}).(*ClientConn)
+	if !ok {
+		return nil
+	}
+	return c.SetLinger(0)
+}
