retry: leave the budget to the calls rather than to repeats of their callers

Cause: with calls of repeats counted, the retries of the runs that make calls used up the budget of the service that they call: a repeat costs an arrival at each of two services, and at most as often saves the same run as one retry of the call. Repeats that a daemon refused for it were also offered to up to six others. Change: a run that makes calls is repeated only while 0.6 of the budgets of the called services are unspent; such a refusal is final. Retries of calls may spend all of it.

--- a/core/retry/fleet.go
+++ b/core/retry/fleet.go
@@ -23,9 +23,10 @@
 	// retries that arrive at their targets later than they were granted, so that those
 	// of more than one window arrive within one.
 	spentShare = 0.95
-	// requestShare is the part of the budget that retries of requests may spend if there
-	// are calls of repeated runs, whose refusal wastes the work of the run.
-	requestShare = 0.9
+	// repeatShare is the part of the budget up to which runs that make calls are repeated.
+	// The rest is left for retries of the calls themselves: one of them saves the run that
+	// made the call, and costs less than a repeat of it.
+	repeatShare = 0.6
 	// windowSlices is the number of slices of a window that are counted separately. One
 	// more is kept, so that the slices together always cover a whole window.
 	windowSlices = 20
@@ -38,8 +39,7 @@
 type slice struct {
 	requests float64
 	retries  float64
-	calls    float64 // the retries that are calls of repeated runs
-	daemons  int     // the largest number of daemons
+	daemons  int // the largest number of daemons
 }
 
 // FleetBudget bounds the retries of one service at one daemon, so that the daemons
@@ -87,11 +87,7 @@
 func (b *FleetBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.totals()
-	if t.calls > 0 {
-		t.allowed *= requestShare
-	}
-	return b.spend(t)
+	return b.spend()
 }
 
 // AllowCall reports whether a call of a repeated run may be sent, and if so counts its
@@ -99,16 +95,12 @@
 func (b *FleetBudget) AllowCall() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	allowed := b.spend(b.totals())
-	if allowed {
-		b.slices[b.current].calls++
-	}
-	return allowed
+	return b.spend()
 }
 
-// spend counts a retry if the totals allow it.
-func (b *FleetBudget) spend(t totals) bool {
-	if t.retries+1 > t.allowed && !enforceFleetBudget.Off() {
+// spend counts a retry if the budget has room for it.
+func (b *FleetBudget) spend() bool {
+	if retries, allowed := b.totals(); retries+1 > allowed && !enforceFleetBudget.Off() {
 		b.counts.Refused++
 		return false
 	}
@@ -117,12 +109,13 @@
 	return true
 }
 
-// Affords reports whether the budget has room for n more retries.
+// Affords reports whether the budget has room for the n calls of a run that would be
+// repeated.
 func (b *FleetBudget) Affords(n float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.totals()
-	return t.retries+n <= t.allowed || enforceFleetBudget.Off()
+	retries, allowed := b.totals()
+	return retries+n <= repeatShare*allowed || enforceFleetBudget.Off()
 }
 
 // giveBack returns a retry that was granted and has not been sent to a target. The slice in
@@ -149,37 +142,28 @@
 	return b.counts
 }
 
-// totals are the counts of a window.
-type totals struct {
-	retries, calls float64
-	allowed        float64
-}
-
 // totals returns the retries within the window and the number that is allowed. The
 // requests are those of less than a window, the retries those of more.
-func (b *FleetBudget) totals() totals {
+func (b *FleetBudget) totals() (retries, allowed float64) {
 	b.advance()
 	known := b.Daemons()
 	daemons := known
 	b.slices[b.current].daemons = max(b.slices[b.current].daemons, daemons)
 	oldest := (b.current + 1) % len(b.slices)
-	var t totals
 	requests := 0.0
 	for i, s := range b.slices {
-		t.retries += s.retries
-		t.calls += s.calls
+		retries += s.retries
 		// Daemons that have left may have spent their part within the window.
 		daemons = max(daemons, s.daemons)
 		if i != oldest {
 			requests += s.requests
 		}
 	}
-	t.allowed = b.limits.Ratio * requests
+	allowed = b.limits.Ratio * requests
 	if known > 0 && !b.Now().Before(b.ExtraFrom) {
-		t.allowed += b.limits.ExtraRetries / float64(daemons)
+		allowed += b.limits.ExtraRetries / float64(daemons)
 	}
-	t.allowed *= spentShare
-	return t
+	return retries, spentShare * allowed
 }
 
 // advance moves the window so that the newest slice covers the current time.
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -101,7 +101,7 @@
 // errNoRetriesLeft is the result of a request for which the retry budget of its service has
 // no room.
 func (s *Sidecar) errNoRetriesLeft() *outcome.Error {
-	err := outcome.New(outcome.NotRun, outcome.Overloaded, "no retries left for the call of a repeated run")
+	err := outcome.New(outcome.NotRun, outcome.RetryNotAllowed, "no retries left for the call of a repeated run")
 	err.RetryAt = s.now().Add(s.settings.Load().RetryBudget.Window / retryWindowParts)
 	return err
 }
@@ -137,7 +137,7 @@
 		return false
 	}
 	notRun := resp == nil && result.err.Outcome == outcome.NotRun
-	if notRun && result.err.Reason == outcome.Poison {
+	if notRun && (result.err.Reason == outcome.Poison || result.err.Reason == outcome.RetryNotAllowed) {
 		return false
 	}
 	if notRun && !result.refusedByTarget {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -219,7 +219,7 @@
 	}
 	for service, calls := range s.lineage.CallsPerRun() {
 		if calls > minCallsPerRun && !s.retryBudget(service).Affords(calls) {
-			return outcome.New(outcome.NotRun, outcome.Overloaded, "no retries left for the calls of a repeated run")
+			return outcome.New(outcome.NotRun, outcome.RetryNotAllowed, "no retries left for the calls of a repeated run")
 		}
 	}
 	return nil
