http1: start pipelined idempotent requests before their turn

Their deadlines were also counted from their turn. Change: the callers' connections find the requests in the bytes that arrive, and start those that are idempotent, have no body and stand behind no request that closes the connection, eight at most. Their responses are written in their turn. What was started ends when the connection does.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -52,44 +52,98 @@
 
 // serveCaller serves requests of clients and of the target beside the daemon.
 func (s *Sidecar) serveCaller(w http.ResponseWriter, r *http.Request) {
-	s.activeRequests.Add(1)
-	defer s.activeRequests.Add(-1)
-	now := s.now()
 	if s.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
+	ctx, gone := context.WithCancel(r.Context())
+	defer gone()
+	turn := http1.BeginTurn(r, gone)
+	defer turn.End()
+	prepared := turn.Prepared()
+	if prepared == nil {
+		prepared = s.prepare(ctx, w, r)
+	}
+	prepared.Respond(w, r)
+}
+
+// prepareEarly prepares the response to a pipelined request before its turn, so that a
+// client does not wait for the sum of its requests. Only idempotent requests qualify: they
+// may run although the connection closes before they are answered.
+func (s *Sidecar) prepareEarly(ctx context.Context, r *http.Request) *http1.Prepared {
+	config := s.config.Current()
+	if config == nil || s.stopping.Load() {
+		return nil
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if matched := config.Match(r.Host, path); matched == nil || !matched.Idempotent() {
+		return nil
+	}
+	return s.prepare(ctx, nil, r)
+}
+
+// prepare obtains the response to a request, until the context of its client ends. The
+// writer may be nil if the request has no body.
+func (s *Sidecar) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request) *http1.Prepared {
+	s.activeRequests.Add(1)
+	now := s.now()
 	q, status, detail := s.parseRequest(w, r, now)
 	if q == nil {
-		s.meters.rejected(status).Inc()
-		s.log.Info("entry: rejected.", "request", s.protocol.ReadRequest(r.Header, now).ID, "status", status, "reason", detail, "version", s.config.Version())
-		if status == http.StatusServiceUnavailable {
-			w.Header()["Retry-After"] = []string{formatRetryAfter(now.Add(minRetryAfter), now)}
-		}
-		http.Error(w, detail, status)
-		return
+		return s.prepared(func() {}, func(w http.ResponseWriter, r *http.Request) { s.writeRejection(w, r, status, detail) })
 	}
-	client, gone := context.WithCancel(r.Context())
-	defer gone()
-	defer http1.CancelOnClose(client, gone)()
-	ctx, cancel := context.WithDeadline(client, q.deadline)
-	defer cancel()
-	resp, err := s.dispatch(ctx, q)
+	deadline, cancel := context.WithDeadline(ctx, q.deadline)
+	resp, err := s.dispatch(deadline, q)
 	if err != nil {
-		s.writeFailure(client, w, q, err)
-		return
+		return s.prepared(cancel, func(w http.ResponseWriter, _ *http.Request) { s.writeFailure(ctx, w, q, err) })
+	}
+	end := func() {
+		if err := resp.close(); err != nil {
+			s.log.Debug("entry: closing a response failed.", "request", q.ID, "error", err)
+		}
+		cancel()
 	}
-	now = s.now()
+	return s.prepared(end, func(w http.ResponseWriter, r *http.Request) { s.writeAnswer(w, r, q, resp) })
+}
+
+// prepared returns a response whose request is in progress until it was written or given
+// up. It calls end then.
+func (s *Sidecar) prepared(end func(), respond http.HandlerFunc) *http1.Prepared {
+	finish := func() {
+		end()
+		s.activeRequests.Add(-1)
+	}
+	return &http1.Prepared{Discard: finish, Respond: func(w http.ResponseWriter, r *http.Request) {
+		defer finish()
+		respond(w, r)
+	}}
+}
+
+// writeRejection sends the error response to a request that was not dispatched.
+func (s *Sidecar) writeRejection(w http.ResponseWriter, r *http.Request, status int, detail string) {
+	now := s.now()
+	s.meters.rejected(status).Inc()
+	s.log.Info("entry: rejected.", "request", s.protocol.ReadRequest(r.Header, now).ID, "status", status, "reason", detail, "version", s.config.Version())
+	if status == http.StatusServiceUnavailable {
+		w.Header()["Retry-After"] = []string{formatRetryAfter(now.Add(minRetryAfter), now)}
+	}
+	http.Error(w, detail, status)
+}
+
+// writeAnswer passes the response of a target on.
+func (s *Sidecar) writeAnswer(w http.ResponseWriter, r *http.Request, q *request, resp *response) {
+	now := s.now()
 	s.meters.completed(q, resp.status, now)
 	s.log.Info("entry: answered.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", resp.status,
 		"waited", now.Sub(q.arrivedAt), "work", resp.serviceTime, "left", q.deadline.Sub(now), "reached", q.reached+1,
 		"redirects", q.redirects, "version", s.config.Version())
-	if err := resp.writeTo(w, r.Method == http.MethodHead); err != nil {
-		s.log.Warn("entry: writing the response failed.", "request", q.ID, "error", err)
-		if err := http1.ResetOnClose(r.Context()); err != nil {
-			s.log.Debug("entry: the connection cannot be reset.", "request", q.ID, "error", err)
-		}
-		panic(http.ErrAbortHandler)
+	err := resp.writeTo(w, r.Method == http.MethodHead)
+	if err == nil {
+		return
+	}
+	s.log.Warn("entry: writing the response failed.", "request", q.ID, "error", err)
+	if err := http1.ResetOnClose(r.Context()); err != nil {
+		s.log.Debug("entry: the connection cannot be reset.", "request", q.ID, "error", err)
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // parseRequest matches the request with a route and reads its body. If it fails, the
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -53,7 +53,7 @@
 			return nil, errors.CombineErrors(err, closeListeners(servers))
 		}
 		if tcp, ok := listener.(*net.TCPListener); ok && p.server == callers {
-			listener = http1.Listener{TCPListener: tcp}
+			listener = http1.Listener{TCPListener: tcp, Early: s.prepareEarly}
 		}
 		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
 		servers = append(servers, server{Server: p.server, listener: listener})
--- a/internal/sidecar/pipeline_test.go
+++ b/internal/sidecar/pipeline_test.go
@@ -34,6 +34,10 @@
 	Responses []string
 	Runs      []string
 	Cancelled []string
+	// LastRun is the request that begins to run last, if that is fixed.
+	LastRun string
+	// WithinMilliseconds limits the time until the last response; 0 means no limit.
+	WithinMilliseconds int
 	// Closed is set if the daemon closes the connection after the last response.
 	Closed bool
 }
@@ -88,7 +92,8 @@
 	if form == "malformed" {
 		return "GET\r\n\r\n"
 	}
-	method, version, extra, body := "GET", "HTTP/1.1", "", ""
+	const inner = "GET /slots/1 HTTP/1.1\r\nHost: x\r\nId: inner\r\nTakes: 0\r\n\r\n"
+	method, path, version, extra, body := "GET", "/slots/1", "HTTP/1.1", "", ""
 	switch form {
 	case "close":
 		extra = "Connection: close\r\n"
@@ -96,10 +101,17 @@
 		version = "HTTP/1.0"
 	case "chunked":
 		method, extra, body = "POST", "Transfer-Encoding: chunked\r\n", "5\r\nGET /\r\n0\r\n\r\n"
+	case "unsafe":
+		path = "/orders/1"
+	case "smuggled":
+		method, extra, body = "POST", fmt.Sprintf("Content-Length: %d\r\n", len(inner)), inner
+	case "smuggledchunk":
+		method, extra = "POST", "Transfer-Encoding: chunked\r\n"
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
 	case "oversized":
 		extra = "Filler: " + strings.Repeat("x", 2*defaultHeaderBytes) + "\r\n"
 	}
-	return fmt.Sprintf("%s /slots/1 %s\r\nHost: x\r\nId: %s\r\nTakes: %s\r\n%s\r\n%s", method, version, f[0], f[1], extra, body)
+	return fmt.Sprintf("%s %s %s\r\nHost: x\r\nId: %s\r\nTakes: %s\r\n%s\r\n%s", method, path, version, f[0], f[1], extra, body)
 }
 
 // TestPipelines guards against the failures named in testdata/pipelines.json, with clients
@@ -130,6 +142,7 @@
 	conn, err := net.Dial("tcp4", address)
 	is.NoErr(err)
 	defer conn.Close()
+	begun := time.Now()
 	for _, step := range c.Steps {
 		var sent strings.Builder
 		for _, r := range step.Send {
@@ -146,9 +159,17 @@
 		}
 	}
 	c.checkResponses(t, conn)
+	if limit := time.Duration(c.WithinMilliseconds) * time.Millisecond; limit > 0 {
+		is.True(time.Since(begun) < limit)
+	}
 	// Half a second is how long the work for a client that has gone may go on.
 	time.Sleep(500 * time.Millisecond)
 	runs, cancelled := target.snapshot()
+	if c.LastRun != "" {
+		is.Equal(runs[len(runs)-1], c.LastRun)
+	}
+	slices.Sort(runs) // requests that need not wait for their turn run at the same time
+	slices.Sort(cancelled)
 	is.Equal(runs, c.Runs)
 	is.Equal(cancelled, c.Cancelled)
 }
--- a/internal/sidecar/response_test.go
+++ b/internal/sidecar/response_test.go
@@ -35,6 +35,9 @@
 	config, err := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "agenda"}}, Routes: []route.Route{{
 		Name: "slots", Host: "x", Prefix: "/slots/", Kind: route.Safe, Timeout: allowed, MaxAttempts: 1,
 		Services: []route.WeightedService{{Service: "agenda", Weight: 1}},
+	}, {
+		Name: "orders", Host: "x", Prefix: "/orders/", Kind: route.Unsafe, Timeout: allowed, MaxAttempts: 1,
+		Services: []route.WeightedService{{Service: "agenda", Weight: 1}},
 	}}})
 	is.NoErr(err)
 	var p requestPath
@@ -58,7 +61,7 @@
 	p.entry.roster.Merge(p.beside.ownRecord())
 	callers := httptest.NewUnstartedServer(nil)
 	callers.Config = p.entry.callerServer()
-	callers.Listener = http1.Listener{TCPListener: callers.Listener.(*net.TCPListener)}
+	callers.Listener = http1.Listener{TCPListener: callers.Listener.(*net.TCPListener), Early: p.entry.prepareEarly}
 	callers.Start()
 	t.Cleanup(callers.Close)
 	p.url = callers.URL + "/slots/1"
--- /dev/null
+++ b/io/http1/pipeline.go
@@ -0,0 +1,161 @@
+package http1
+
+import (
+	"context"
+	"net/http"
+
+	"pollenscale/internal/mutant"
+)
+
+// startPipelined is a mechanism that tests can switch off.
+var startPipelined = mutant.New("http1/start-pipelined")
+
+// maxEarly limits the requests of one connection that are started before their turn.
+const maxEarly = 8
+
+// Prepared is a response that is ready to be written. One of the functions is called.
+type Prepared struct {
+	// Respond writes the response.
+	Respond http.HandlerFunc
+	// Discard gives the response up.
+	Discard func()
+}
+
+// Early prepares the response to a pipelined request before its turn, until ctx ends. It
+// returns nil if the request has to wait for its turn.
+type Early func(ctx context.Context, r *http.Request) *Prepared
+
+// pipelined is a request that has arrived on a connection and has not been answered.
+type pipelined struct {
+	request *http.Request
+	cancel  func()
+	done    chan struct{} // closed when prepared is set, nil unless started early
+	// prepared is nil if the request has to be handled in its turn.
+	prepared *Prepared
+}
+
+// frame finds the requests in bytes that have arrived, and starts those that need not wait
+// for their turn. The caller holds the lock.
+func (c *ClientConn) frame(b []byte) {
+	for _, r := range c.framer.feed(b) {
+		p := &pipelined{request: r}
+		if c.startsEarly(r) {
+			c.start(p)
+		}
+		c.queue = append(c.queue, p)
+		c.closing = c.closing || r.Close
+	}
+}
+
+// startsEarly reports whether the request may be started although earlier ones have not
+// been answered. Requests behind one that closes the connection are not run.
+func (c *ClientConn) startsEarly(r *http.Request) bool {
+	waiting := len(c.queue)
+	return c.early != nil && waiting > 0 && waiting <= maxEarly && !c.closing && !r.Close && r.ContentLength == 0 &&
+		!startPipelined.Off()
+}
+
+func (c *ClientConn) start(p *pipelined) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel, p.done = cancel, make(chan struct{})
+	c.group.Go(func() error {
+		prepared := c.early(ctx, p.request)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed && prepared != nil {
+			prepared.Discard()
+			prepared = nil
+		}
+		p.prepared = prepared
+		close(p.done)
+		return nil
+	})
+}
+
+// giveUpQueue ends the requests that have not been answered. The caller holds the lock.
+func (c *ClientConn) giveUpQueue() {
+	for _, p := range c.queue {
+		if p.cancel == nil {
+			continue
+		}
+		p.cancel()
+		if p.prepared != nil {
+			p.prepared.Discard()
+			p.prepared = nil
+		}
+	}
+	c.queue, c.framer.lost = nil, true
+}
+
+// Close closes the connection and ends what was started for its later requests.
+func (c *ClientConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.giveUpQueue()
+	c.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// Turn is a request whose turn on its connection has come.
+type Turn struct {
+	conn  *ClientConn
+	entry *pipelined
+}
+
+// BeginTurn begins the turn of a request with the context, which a server passes to its
+// handler. It calls cancel when the client closes the connection. The caller calls End.
+func BeginTurn(r *http.Request, cancel func()) *Turn {
+	c, ok := r.Context().Value(connKey{}).(*ClientConn)
+	if !ok {
+		return &Turn{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onGone = cancel
+	if c.err != nil {
+		cancel()
+	}
+	t := &Turn{conn: c}
+	if len(c.queue) > 0 && c.queue[0].matches(r) {
+		t.entry = c.queue[0]
+	} else {
+		c.giveUpQueue()
+	}
+	return t
+}
+
+// matches reports whether the request of a handler is this one.
+func (p *pipelined) matches(r *http.Request) bool {
+	return p.request.Method == r.Method && p.request.RequestURI == r.RequestURI && p.request.Host == r.Host
+}
+
+// Prepared returns the response that was prepared before the turn, and waits for it. It
+// returns nil if the request has to be handled now.
+func (t *Turn) Prepared() *Prepared {
+	if t.entry == nil || t.entry.done == nil {
+		return nil
+	}
+	<-t.entry.done
+	t.conn.mu.Lock()
+	defer t.conn.mu.Unlock()
+	prepared := t.entry.prepared
+	t.entry.prepared = nil
+	return prepared
+}
+
+// End ends the turn.
+func (t *Turn) End() {
+	c := t.conn
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onGone = nil
+	if t.entry != nil && len(c.queue) > 0 && c.queue[0] == t.entry {
+		c.queue = c.queue[1:]
+		if t.entry.cancel != nil {
+			t.entry.cancel()
+		}
+	}
+}
--- a/io/http1/watch.go
+++ b/io/http1/watch.go
@@ -24,6 +24,8 @@
 // connection as soon as a byte of a later request has arrived; these connections go on.
 type Listener struct {
 	*net.TCPListener
+	// Early starts pipelined requests before their turn; nil means that all wait.
+	Early Early
 }
 
 // Accept returns the next connection, which is a *ClientConn.
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watched := &ClientConn{TCPConn: c}
+	watched := &ClientConn{TCPConn: c, early: l.Early}
 	watched.changed.L = &watched.mu
 	return watched, nil
 }
@@ -47,6 +49,11 @@
 	err     error  // ended the connection
 	reading bool   // the read-ahead is running
 	onGone  func()
+	closed  bool
+	closing bool // a request closes the connection after its response
+	early   Early
+	framer  framer
+	queue   []*pipelined // the request in progress and those behind it
 	group   errgroup.Group
 }
 
@@ -59,26 +66,6 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// CancelOnClose calls cancel when the client closes the connection of the request with the
-// context. The caller calls the returned function at the end of the request.
-func CancelOnClose(ctx context.Context, cancel func()) (stop func()) {
-	c, ok := ctx.Value(connKey{}).(*ClientConn)
-	if !ok {
-		return func() {}
-	}
-	c.setOnGone(cancel)
-	return func() { c.setOnGone(nil) }
-}
-
-func (c *ClientConn) setOnGone(f func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.onGone = f
-	if c.err != nil && f != nil {
-		f()
-	}
-}
-
 // Read reads from the connection. A net/http server waits for the close of a connection
 // during a request by a read of a single byte. If that read returns a byte of a later
 // request, the read-ahead takes over.
@@ -87,12 +74,23 @@
 		return n, err
 	}
 	n, err := c.TCPConn.Read(p)
-	if len(p) == 1 && n == 1 && err == nil && !watchPipelined.Off() {
-		c.startReadAhead()
+	if n > 0 {
+		c.addRead(p[:n])
 	}
 	return n, err
 }
 
+// addRead evaluates bytes that a server has read.
+func (c *ClientConn) addRead(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frame(b)
+	if len(b) == 1 && !c.reading && !watchPipelined.Off() {
+		c.reading = true
+		c.group.Go(c.runReadAhead)
+	}
+}
+
 // readAhead returns bytes that were read ahead. It reports done = false if there are none
 // and the read-ahead is not running.
 func (c *ClientConn) readAhead(p []byte) (n int, err error, done bool) { //nolint:revive // done qualifies the results of a read
@@ -113,16 +111,6 @@
 	return n, nil, true
 }
 
-func (c *ClientConn) startReadAhead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading {
-		return
-	}
-	c.reading = true
-	c.group.Go(c.runReadAhead)
-}
-
 // runReadAhead reads until the connection ends, a read deadline passes or maxReadAhead is
 // reached.
 func (c *ClientConn) runReadAhead() error {
@@ -140,9 +128,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead = append(c.ahead, b...)
+	c.frame(b)
 	c.reading = err == nil && len(c.ahead) < maxReadAhead
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.err = err
+		c.giveUpQueue()
 		if c.onGone != nil {
 			c.onGone()
 		}
