--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build test test-plain test-race lint fmt generate prove soak mutants bench-path check-upload measure slopes demo
+.PHONY: build test test-plain test-race lint fmt generate prove soak mutants regress bench-path check-upload measure slopes demo
 
 SEED ?= 1
 RUNS ?= 200
@@ -35,6 +35,11 @@
 mutants:
 	POLLENSCALE_MUTANTS=1 $(GO) test ./internal/mutant -run TestMutants -count=1 -v -timeout 20m
 
+# Quick scores of the site files in SITES, with the bench in BENCH: the large deployment,
+# the rostering ones and the grown ones.
+regress:
+	BENCH="$(BENCH)" SITES="$(SITES)" scripts/regress
+
 demo: build
 	scripts/demo
 
