retry: one way to take a retry from the budget

Cause: calls of repeated runs and retries of requests took theirs by two functions that had become the same. Change: Allow and Take serve both. Result: core/retry passes; no behaviour changed.

--- a/core/retry/fleet.go
+++ b/core/retry/fleet.go
@@ -83,23 +83,11 @@
 	b.slices[b.current].requests++
 }
 
-// Allow reports whether an attempt may be retried, and if so counts the retry.
+// Allow reports whether an attempt may be retried, or a call of a repeated run be sent, and
+// if so counts the retry.
 func (b *FleetBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.spend()
-}
-
-// AllowCall reports whether a call of a repeated run may be sent, and if so counts its
-// first arrival as a retry.
-func (b *FleetBudget) AllowCall() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.spend()
-}
-
-// spend counts a retry if the budget has room for it.
-func (b *FleetBudget) spend() bool {
 	if retries, allowed := b.totals(); retries+1 > allowed && !enforceFleetBudget.Off() {
 		b.counts.Refused++
 		return false
--- a/core/retry/grant.go
+++ b/core/retry/grant.go
@@ -10,8 +10,8 @@
 // NewGrant returns a grant without a retry.
 func (b *FleetBudget) NewGrant() *Grant { return &Grant{budget: b} }
 
-// Take reports whether the request may be sent to a target again. A retry that was granted
-// and has not been used stays valid.
+// Take reports whether the request may be sent to a target again, or for the first time if
+// it is a call of a repeated run. A retry that was granted and has not been used stays valid.
 func (g *Grant) Take() bool {
 	if !g.unused {
 		g.unused = g.budget.Allow()
@@ -19,15 +19,6 @@
 	return g.unused
 }
 
-// TakeCall reports whether the request, a call of a repeated run, may be sent to a target
-// for the first time.
-func (g *Grant) TakeCall() bool {
-	if !g.unused {
-		g.unused = g.budget.AllowCall()
-	}
-	return g.unused
-}
-
 // Use records that the request has arrived at a target.
 func (g *Grant) Use() { g.unused = false }
 
--- a/core/retry/lineage_test.go
+++ b/core/retry/lineage_test.go
@@ -64,7 +64,7 @@
 	f.requests[service][tick]++
 	grant := budget.NewGrant()
 	defer grant.Close()
-	if known && !grant.TakeCall() {
+	if known && !grant.Take() {
 		return false
 	}
 	for attempt := range maxAttempts {
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -27,7 +27,7 @@
 	budget.RecordRequest()
 	grant := budget.NewGrant()
 	defer grant.Close()
-	if q.callOfRepeat && !grant.TakeCall() {
+	if q.callOfRepeat && !grant.Take() {
 		return nil, s.errNoRetriesLeft()
 	}
 	serviceTime := s.serviceTimes.Estimate(q.route.Name)
