--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -111,3 +111,33 @@
 		}
 	}
 }
+
+// TestStopEndsReadRequest guards against a request that a daemon has read and whose
+// connection is closed at the end of a planned stop before the response.
+func TestStopEndsReadRequest(t *testing.T) {
+	is := is.New(t)
+	const takes = 200 * time.Millisecond
+	p := startPath(t, 1, 2*time.Second, func(http.ResponseWriter, *http.Request) { time.Sleep(takes) })
+	callers := p.entry.callerServer()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	p.entry.servers = []server{{Server: callers, listener: listener}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var serving sync.WaitGroup
+	serving.Go(func() { p.entry.servers[0].serve(ctx) })
+	defer serving.Wait()
+	defer cancel()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /slots/1 HTTP/1.1\r\nHost: x\r\nId: 42\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(takes / 2)
+	p.entry.closeServers(t.Context(), time.Now().Add(time.Second))
+	is.NoErr(callers.Close())
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err) // the request that was read is answered
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
