spread, http1: check the group of the first fetches, say what the package has for servers

Cause: an error that cannot occur was dropped without a check, and two doc comments were behind the code. Change: the error is checked; comments of http1 and of BeginTurn. Result: core/spread passes.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -430,7 +430,9 @@
 			return nil
 		})
 	}
-	_ = group.Wait() // the functions return no error
+	if err := group.Wait(); err != nil {
+		return false
+	}
 	latest := slices.MaxFunc(updates, func(a, b Update) int { return cmp.Compare(a.Head().Version, b.Head().Version) })
 	err := s.apply(ctx, latest)
 	s.mu.Lock()
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -3,6 +3,9 @@
 // Unlike net/http it never retries a request, reports exactly whether a request
 // may have reached the peer, skips stale responses to earlier requests, and sends
 // path, query, host and encoding unchanged.
+//
+// For servers it has connections that notice when a client with pipelined requests
+// closes, and that start such requests before their turn.
 package http1
 
 import (
--- a/io/http1/pipeline.go
+++ b/io/http1/pipeline.go
@@ -102,8 +102,8 @@
 	entry *pipelined
 }
 
-// BeginTurn begins the turn of a request with the context, which a server passes to its
-// handler. It calls cancel when the client closes the connection. The caller calls End.
+// BeginTurn begins the turn of a request that a server has passed to its handler. It calls
+// cancel when the client closes the connection. The caller calls End.
 func BeginTurn(r *http.Request, cancel func()) *Turn {
 	c, ok := r.Context().Value(connKey{}).(*ClientConn)
 	if !ok {
