daemon: let the test of the join give the daemon its seeds

The log of its calls shows that callers were served at once: joined() holds for a daemon whose settings name no seeds, and the test's fleet sets those of the joiner only. So the wait for the join was not played, and the two calls of 500 ms met the 1 s for the details. Change: the test sets the seeds of the settings; delays, bounds and check are unchanged.

--- a/internal/daemon/join_test.go
+++ b/internal/daemon/join_test.go
@@ -19,6 +19,7 @@
 	f := startFleet(t, "desk", "agenda", "agenda")
 	entry := f.nodes[0]
 	entry.prepare = func(n *node) {
+		n.Settings.Seeds = n.members.joiner.Seeds // a daemon without seeds does not wait for them
 		n.members.joiner.Call = func(ctx context.Context, address string, r member.Request) (member.Reply, error) {
 			time.Sleep(500 * time.Millisecond)
 			return n.members.requestExchange(ctx, address, r)
