review: an odd entry makes clients get answers of a foreign server

Cause: a row of another writer with fields missing is taken for a target, and the answers from its address are passed on without a check that a daemon sent them.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -67,6 +67,11 @@
 
 // browse sends safe requests to a machine, one after the other.
 func (p *play) browse(m *machine, host, prefix string, stop chan struct{}) {
+	p.ask(m, host, prefix, stop, func(string, answer) {})
+}
+
+// ask is like browse and passes each answer to got.
+func (p *play) ask(m *machine, host, prefix string, stop chan struct{}, got func(id string, a answer)) {
 	var c *conn
 	for {
 		select {
@@ -87,6 +92,7 @@
 		id := newID()
 		a := c.get("GET", host, prefix+id, id, time.Second)
 		p.record.add("%s sent to %s: %v", id, m.name, a)
+		got(id, a)
 		if a.err != nil {
 			c.Close()
 			c = nil
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	cases := map[string]func(*play) int{"early": early, "drain": drain, "poison": poison}
+	cases := map[string]func(*play) int{"early": early, "drain": drain, "poison": poison, "entry": entry}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE REPOSITORY RECORD")
 		os.Exit(failed)
