--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -45,6 +45,9 @@
 
 // end makes the backend exit.
 func (b *backend) end() {
+	if b.server == nil {
+		return
+	}
 	b.stopBeats()
 	b.server.Close()
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +34,13 @@
 		rec.add("could not run: %v", err)
 		os.Exit(failed)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stopped
+		d.close(false)
+		os.Exit(failed)
+	}()
 	p := &play{deployment: d, trouble: os.Getenv("TROUBLE") != "0"}
 	code := cases[os.Args[1]](p)
 	for _, b := range p.backends {
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -12,9 +12,9 @@
 	// backAfter is how long a crashed backend is down.
 	backAfter = 3 * time.Second
 	// poisonEvery is how often the request that crashes backends comes again.
-	poisonEvery = 200 * time.Millisecond
+	poisonEvery = 150 * time.Millisecond
 	// poisonFor is how long it comes after each restart.
-	poisonFor = 2500 * time.Millisecond
+	poisonFor = 3500 * time.Millisecond
 )
 
 // arrival is one run of the request that crashes backends.
