--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return nil, s.peerError(ctx, to, err)
 	}
+	if q.stream != nil {
+		q.stream.sent = r.Sent()
+	}
 	s.observeHeaders(to, r.Header)
 	if result, refused := readOutcome(r.Header, s.now()); refused {
 		s.discard(r)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -37,7 +36,7 @@
 	host       string
 	header     http.Header
 	body       []byte
-	stream     io.Reader // remainder after body, if the body is too long to keep
+	stream     *bodyStream // remainder after body, nil unless the body is too long to keep
 	length     int64
 	arrivedAt  time.Time
 	deadline   time.Time
@@ -135,8 +134,10 @@
 	s.log.Info("entry: answered.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", resp.status,
 		"waited", now.Sub(q.arrivedAt), "work", resp.serviceTime, "left", q.deadline.Sub(now), "reached", q.reached+1,
 		"redirects", q.redirects, "version", s.config.Version())
+	s.respondEarly(w, r, q.stream)
 	err := resp.writeTo(w, r.Method == http.MethodHead)
 	if err == nil {
+		s.finishBody(w, q.stream)
 		return
 	}
 	s.log.Warn("entry: writing the response failed.", "request", q.ID, "error", err)
@@ -171,13 +172,11 @@
 	if end := s.stopsAt.Load(); end != nil && q.deadline.After(*end) {
 		return nil, http.StatusServiceUnavailable, "the daemon stops before the deadline of the request"
 	}
-	if limit := config.Limits.BodyBytes; limit > 0 {
-		if r.ContentLength > limit {
-			return nil, http.StatusRequestEntityTooLarge, "body too large"
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	limit := config.Limits.BodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge, "body too large"
 	}
-	if err := s.readBody(w, r, q); err != nil {
+	if err := s.readBody(w, r, q, limit); err != nil {
 		status, detail := bodyFailure(err)
 		return nil, status, detail
 	}
@@ -221,5 +220,6 @@
 	s.log.Warn("entry: failed.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", status,
 		"outcome", err.Outcome, "reason", err.Reason, "detail", err.Detail, "reached", q.reached, "redirects", q.redirects,
 		"waited", now.Sub(q.arrivedAt), "left", q.deadline.Sub(now), "version", s.config.Version())
+	s.failEarly(w, q.stream)
 	http.Error(w, string(err.Reason), status)
 }
--- a/internal/sidecar/mechanisms.go
+++ b/internal/sidecar/mechanisms.go
@@ -10,6 +10,7 @@
 	honourLeaving            = mutant.New("sidecar/leaving-in-responses")
 	restoreDrain             = mutant.New("sidecar/restore-drain")
 	expireWithEra            = mutant.New("sidecar/expire-with-era")
+	fullDuplex               = mutant.New("sidecar/full-duplex")
 	closeGracefully          = mutant.New("sidecar/close-gracefully")
 	exceedEarlierIncarnation = mutant.New("sidecar/outlive-earlier-process")
 )
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -41,13 +41,20 @@
 	s.endBodyAt(w, r, params.deadline.Add(responseMargin))
 	ctx, cancel := context.WithDeadline(r.Context(), params.deadline.Add(responseMargin/2))
 	defer cancel()
-	resp, result := s.serveAttempt(ctx, r, ref, params, cancel)
+	var stream *bodyStream
+	if r.ContentLength != 0 {
+		stream = &bodyStream{source: r.Body}
+	}
+	resp, result := s.serveAttempt(ctx, r, stream, ref, params, cancel)
 	if result.err == nil {
+		s.respondEarly(w, r, stream)
 		if err := s.writeResponse(w, resp, r.Method == http.MethodHead); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		s.finishBody(w, stream)
 		return
 	}
+	s.failEarly(w, stream)
 	s.writeOwnLoad(w.Header())
 	writeOutcome(w.Header(), result, s.now())
 	status := http.StatusBadGateway
@@ -73,19 +80,22 @@
 	return l
 }
 
-// serveAttempt records an attempt of another daemon and runs it.
-func (s *Sidecar) serveAttempt(ctx context.Context, r *http.Request, ref attempt.Ref, params attemptParams, cancel func()) (*response, attemptResult) {
+// serveAttempt records an attempt of another daemon and runs it. The stream is the body of
+// the request, nil if it has none.
+func (s *Sidecar) serveAttempt(
+	ctx context.Context, r *http.Request, stream *bodyStream, ref attempt.Ref, params attemptParams, cancel func(),
+) (*response, attemptResult) {
 	record, err := s.receivedAttempts.Begin(ref, cancel)
 	if err != nil {
 		return nil, attemptResult{err: asOutcomeError(err)}
 	}
-	body, length := io.Reader(r.Body), r.ContentLength
-	if length == 0 {
-		body = nil
+	var body io.Reader
+	if stream != nil {
+		body = stream
 	}
 	resp, result := s.runAttempt(ctx, &localAttempt{
 		id: s.protocol.ReadRequest(r.Header, s.now()).ID, method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: forwardedHeaders(r.Header), body: body, length: length, params: params, start: record.Start,
+		header: forwardedHeaders(r.Header), body: body, stream: stream, length: r.ContentLength, params: params, start: record.Start,
 	})
 	record.Finish(outcomeOf(result.err))
 	return resp, result
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -66,8 +66,10 @@
 }
 
 // discardResponse ends a response whose body is not used. The connection can be used
-// again unless the body is longer than maxBufferedBytes.
+// again unless the body is longer than maxBufferedBytes, or that of the request has not been
+// sent.
 func discardResponse(r *http1.Response) error {
+	r.AbandonBody()
 	resp, err := readResponse(r)
 	if err != nil {
 		return err
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -49,6 +49,8 @@
 	host   string
 	header http.Header
 	body   io.Reader
+	// stream is the part of body that is passed on as it arrives, nil if there is none.
+	stream *bodyStream
 	length int64
 	params attemptParams
 	// start is called immediately before the request is sent to the target. It fails if
@@ -60,7 +62,7 @@
 func (s *Sidecar) runLocally(ctx context.Context, q *request, params attemptParams) (*response, attemptResult) {
 	return s.runAttempt(ctx, &localAttempt{
 		id: q.ID, method: q.method, uri: q.uri, host: q.host, header: q.header.Clone(),
-		body: q.bodyReader(), length: q.length, params: params, start: func() error { return nil },
+		body: q.bodyReader(), stream: q.stream, length: q.length, params: params, start: func() error { return nil },
 	})
 }
 
@@ -251,6 +253,9 @@
 	if err != nil {
 		return nil, s.targetError(ctx, err)
 	}
+	if a.stream != nil {
+		a.stream.sent = r.Sent()
+	}
 	meta := s.protocol.ReadAnswer(r.Status, r.Header)
 	s.observeTarget(view, meta, now)
 	if meta.NotExecuted {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -32,6 +32,7 @@
 	closeOnCancel    = mutant.New("http1/close-cancelled")
 	retireAfterStale = mutant.New("http1/retire-after-stray-answer")
 	avoidRefused     = mutant.New("http1/avoid-refused")
+	finishBody       = mutant.New("http1/finish-body")
 )
 
 const (
@@ -101,8 +102,19 @@
 	keepAlive   bool
 	idleTimeout time.Duration
 	closed      bool
+	sent        <-chan struct{}
+	// bodyUnwanted is set if the peer has no use for the rest of the request's body.
+	bodyUnwanted bool
 }
 
+// sentBefore is the Sent channel of a request whose body was written before its response
+// was read, or was not asked for.
+var sentBefore = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // conn is one connection of a pool.
 type conn struct {
 	net.Conn
@@ -122,7 +134,9 @@
 	refused []string
 	// writing is set while a long body is being written, and stays set if that fails.
 	writing atomic.Bool
-	group   errgroup.Group
+	// sent is closed when the body of the current request was written or given up.
+	sent  <-chan struct{}
+	group errgroup.Group
 }
 
 // healthy reports whether an idle connection is open and has no unread bytes,
@@ -163,6 +177,7 @@
 	})
 	reused := c.requests > 0
 	c.requests++
+	c.sent = sentBefore
 	started := time.Now()
 	head, bodySent, err := c.roundTrip(r) //nolint:bodyclose // the caller closes the Response
 	if err != nil {
@@ -176,6 +191,7 @@
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Reused: reused,
 		key: r.Key, body: head.Body, conn: c, stop: stop, keepAlive: bodySent && !head.Close, idleTimeout: parseIdleTimeout(head.Header),
+		sent: c.sent,
 	}, nil
 }
 
@@ -227,7 +243,10 @@
 		return c.writeBody(r)
 	}
 	c.writing.Store(true)
+	sent := make(chan struct{})
+	c.sent = sent
 	c.group.Go(func() error {
+		defer close(sent)
 		err := c.writeBody(r)
 		if err == nil {
 			c.writing.Store(false)
@@ -348,8 +367,16 @@
 	return n, err
 }
 
+// Sent returns a channel that is closed when the body of the request was written or given
+// up. A peer may respond before it has read the body.
+func (r *Response) Sent() <-chan struct{} { return r.sent }
+
+// AbandonBody records that the rest of the request's body need not be written.
+func (r *Response) AbandonBody() { r.bodyUnwanted = true }
+
 // MarkRefused records that the peer refused the request, which may be sent again.
 func (r *Response) MarkRefused() {
+	r.AbandonBody()
 	c := r.conn
 	if len(c.refused) >= maxRefused {
 		c.outOfSync = true
@@ -359,20 +386,41 @@
 }
 
 // Close ends the exchange. The connection returns to the pool if the exchange was
-// complete, and is closed otherwise.
+// complete, and is closed otherwise. If the body of the request is still being written
+// after a complete response, the connection stays open until it is written, at most until
+// the deadline of the request.
 func (r *Response) Close() error {
 	if r.closed {
 		return nil
 	}
 	r.closed = true
-	if !r.stop() || !r.complete || !r.keepAlive || r.conn.writing.Load() {
+	switch {
+	case !r.stop() || !r.complete:
 		r.conn.discard()
-		return nil
+	case !r.conn.writing.Load():
+		r.release()
+	case r.bodyUnwanted || finishBody.Off():
+		r.conn.discard()
+	default:
+		r.conn.group.Go(func() error {
+			<-r.sent
+			r.release()
+			return nil
+		})
 	}
-	r.conn.pool.put(r.conn, r.idleTimeout)
 	return nil
 }
 
+// release returns the connection of a complete exchange to the pool, or closes it if it
+// cannot be used again.
+func (r *Response) release() {
+	if !r.keepAlive || r.conn.writing.Load() {
+		r.conn.discard()
+		return
+	}
+	r.conn.pool.put(r.conn, r.idleTimeout)
+}
+
 func (c *conn) discard() {
 	if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		c.pool.OnError(err)
