--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -40,6 +40,12 @@
 	return r.Sequence > o.Sequence
 }
 
+// SameTarget reports whether both records, of one process, describe the same incarnation of
+// the target in the same state.
+func (r *Record) SameTarget(o *Record) bool {
+	return r.Daemon == o.Daemon && r.Target == o.Target && r.Born == o.Born && r.TargetState == o.TargetState
+}
+
 const (
 	// firstProbeInterval is the time after which an unreachable daemon is probed
 	// first. The interval doubles up to maxProbeInterval.
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -16,12 +16,14 @@
 const (
 	// maxTargetCallBytes limits the body of a call of the target.
 	maxTargetCallBytes = 16 << 10
-	// recordWriteTimeout limits how long the acknowledgement of a drain is delayed
-	// until the store has the record, from which the daemon restores the drain if it
-	// restarts.
-	recordWriteTimeout = 250 * time.Millisecond
+	// recordWriteTimeout limits how long a target that leaves waits for its acknowledgement,
+	// which is sent once the store has the record. A target waits a second for a response.
+	recordWriteTimeout = 800 * time.Millisecond
 )
 
+// errNotRecorded is the error of a departure that the store does not have.
+var errNotRecorded = errors.New("the store does not have the departure yet")
+
 // serveControl serves the calls that the target makes to the daemon beside it.
 func (s *Sidecar) serveControl(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTargetCallBytes))
@@ -40,10 +42,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if call.Heartbeat != nil {
-		s.applyHeartbeat(r.Context(), call.Heartbeat, now)
-	} else {
-		s.applyLeave(r.Context(), call, now)
+	if err := s.applyTargetCall(r.Context(), call, now); err != nil {
+		s.log.Warn("target: departure not acknowledged.", "target", call.target(), "waited", s.now().Sub(now), "error", err)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := io.WriteString(w, "{}"); err != nil {
@@ -59,7 +61,37 @@
 	return nil
 }
 
-func (s *Sidecar) applyHeartbeat(ctx context.Context, h *localtarget.Heartbeat, now time.Time) {
+// applyTargetCall applies a call of the target. An error means that the call must not be
+// acknowledged.
+func (s *Sidecar) applyTargetCall(ctx context.Context, call TargetCall, now time.Time) error {
+	if call.Heartbeat == nil {
+		s.applyLeave(call, now)
+		return s.awaitRecorded(ctx)
+	}
+	s.applyHeartbeat(call.Heartbeat, now)
+	if call.Heartbeat.Draining {
+		return s.awaitRecorded(ctx)
+	}
+	return nil
+}
+
+// awaitRecorded waits until the store has the departure of the target, at most
+// recordWriteTimeout. All processes can end at the same moment, so that nothing else makes
+// an acknowledgement binding for those that come after them.
+func (s *Sidecar) awaitRecorded(ctx context.Context) error {
+	if acknowledgeRecorded.Off() {
+		return nil
+	}
+	select {
+	case <-s.recordStored():
+		return nil
+	case <-time.After(recordWriteTimeout):
+	case <-ctx.Done():
+	}
+	return errNotRecorded
+}
+
+func (s *Sidecar) applyHeartbeat(h *localtarget.Heartbeat, now time.Time) {
 	result := s.localTarget.ApplyHeartbeat(*h, now)
 	if result == localtarget.Unchanged {
 		return
@@ -69,35 +101,25 @@
 	if result == localtarget.Stale {
 		return
 	}
-	s.targetChanged(ctx, result == localtarget.Replaced)
+	s.targetChanged(result == localtarget.Replaced)
 }
 
-func (s *Sidecar) applyLeave(ctx context.Context, call TargetCall, now time.Time) {
+func (s *Sidecar) applyLeave(call TargetCall, now time.Time) {
 	result := s.localTarget.Leave(call.Leaving, call.Born, now)
 	s.log.Info("target: leaves.", "target", call.Leaving, "born", call.Born, "verdict", result)
 	if result == localtarget.Changed {
-		s.targetChanged(ctx, false)
+		s.targetChanged(false)
 	}
 }
 
-// targetChanged applies a new state of the target and publishes it. If the target no
-// longer takes work, it waits until the store has the record, at most
-// recordWriteTimeout.
-func (s *Sidecar) targetChanged(ctx context.Context, replaced bool) {
+// targetChanged applies a new state of the target and publishes it.
+func (s *Sidecar) targetChanged(replaced bool) {
 	view := s.localTarget.View()
 	s.limit.SetSlots(view.Slots)
 	if replaced {
 		s.replaceTarget(view)
 	}
-	written := s.recordChanged()
-	if view.State.TakesWork() {
-		return
-	}
-	select {
-	case <-written:
-	case <-time.After(recordWriteTimeout):
-	case <-ctx.Done():
-	}
+	s.recordChanged()
 }
 
 // replaceTarget resets what belonged to the previous incarnation of the target:
--- a/internal/sidecar/mechanisms.go
+++ b/internal/sidecar/mechanisms.go
@@ -8,6 +8,7 @@
 	checkTargetService       = mutant.New("sidecar/service-at-target")
 	refuseWhenDrained        = mutant.New("sidecar/refuse-when-drained")
 	honourLeaving            = mutant.New("sidecar/leaving-in-responses")
+	acknowledgeRecorded      = mutant.New("sidecar/acknowledge-recorded")
 	restoreDrain             = mutant.New("sidecar/restore-drain")
 	expireWithEra            = mutant.New("sidecar/expire-with-era")
 	fullDuplex               = mutant.New("sidecar/full-duplex")
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -49,7 +49,7 @@
 	s.resolveConflict([]store.Row{{Table: membersTable, Key: string(s.id), Value: value, Version: 7}})
 	a := &localAttempt{params: attemptParams{service: "agenda"}}
 	is.True(s.checkTarget(s.localTarget.View(), a) != nil)
-	s.applyHeartbeat(t.Context(), &localtarget.Heartbeat{ID: "i-1", Service: "agenda", Sequence: 3, Slots: 9}, time.Now())
+	s.applyHeartbeat(&localtarget.Heartbeat{ID: "i-1", Service: "agenda", Sequence: 3, Slots: 9}, time.Now())
 	is.True(s.checkTarget(s.localTarget.View(), a) != nil) // although the heartbeat does not report the drain
 }
 
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -40,3 +40,11 @@
 	// it.
 	Born int64
 }
+
+// target returns the target that made the call.
+func (c *TargetCall) target() exchange.TargetID {
+	if c.Heartbeat != nil {
+		return c.Heartbeat.ID
+	}
+	return c.Leaving
+}
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -26,7 +26,8 @@
 	sequence uint64
 	waiters  []chan struct{} // closed when the current record has been written
 	version  store.Version
-	era      store.Era // in which the store has acknowledged a record
+	era      store.Era     // in which the store has acknowledged a record
+	written  roster.Record // that the store has acknowledged last
 }
 
 // writtenEra returns the era in which the store has acknowledged a record of this daemon.
@@ -49,6 +50,23 @@
 	return written
 }
 
+// recordStored returns a channel that is closed when the store has a record with the
+// present state of the target.
+func (s *Sidecar) recordStored() <-chan struct{} {
+	own, era := s.ownRecord(), s.storeEra.value()
+	stored := make(chan struct{})
+	p := &s.publisher
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.era >= era && p.written.SameTarget(&own) {
+		close(stored)
+		return stored
+	}
+	p.waiters = append(p.waiters, stored)
+	s.wakePublisher()
+	return stored
+}
+
 // wakePublisher makes publishChanges write the own record.
 func (s *Sidecar) wakePublisher() {
 	select {
@@ -121,7 +139,8 @@
 	waiters := p.waiters
 	version := p.version
 	p.mu.Unlock()
-	value, err := json.Marshal(s.ownRecord())
+	record := s.ownRecord()
+	value, err := json.Marshal(record)
 	if err != nil {
 		s.log.Error("member: encoding the record failed.", "error", err)
 		return true
@@ -146,7 +165,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.era = era
+	p.era, p.written = era, record
 	if len(result.Versions) > 0 {
 		p.version = result.Versions[0]
 	}
