--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -189,6 +189,13 @@
 	s.stopping.Store(true)
 }
 
+// stopsBefore reports whether the daemon ends before the deadline, so that it must not take
+// the request.
+func (s *Sidecar) stopsBefore(deadline time.Time) bool {
+	end := s.stopsAt.Load()
+	return end != nil && deadline.After(*end)
+}
+
 // closeServers closes the listeners for callers and peers, and then their connections, each
 // once the request that it has read is answered. Requests of callers need the connections
 // to peers, so that those are closed last.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -169,7 +169,7 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(q.deadline) {
 		q.deadline = q.Deadline
 	}
-	if end := s.stopsAt.Load(); end != nil && q.deadline.After(*end) {
+	if s.stopsBefore(q.deadline) {
 		return nil, http.StatusServiceUnavailable, "the daemon stops before the deadline of the request"
 	}
 	limit := config.Limits.BodyBytes
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -209,6 +209,8 @@
 		return outcome.New(outcome.NotRun, outcome.NoTarget, "the target runs another service")
 	case !view.State.TakesWork() && !refuseWhenDrained.Off():
 		return outcome.New(outcome.NotRun, outcome.Draining, "the target is draining")
+	case s.stopsBefore(a.params.deadline) && !refuseLateAttempts.Off():
+		return outcome.New(outcome.NotRun, outcome.Draining, "the daemon stops before the deadline of the request")
 	}
 	return nil
 }
