--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// endResponseAt makes writes of a long response fail from a time on, so that a receiver that
+// stops reading in the middle of it occupies nothing after it.
+func (s *Sidecar) endResponseAt(w http.ResponseWriter, resp *response, at time.Time) {
+	if resp.rest == nil || endUnread.Off() {
+		return
+	}
+	if err := http.NewResponseController(w).SetWriteDeadline(at); err != nil {
+		s.log.Debug("daemon: setting the write deadline of a response failed.", "error", err)
+	}
+}
+
 // readBody reads the body, or the first part of one that is too long to keep. The reads
 // end with the deadline of the request. The limit is the largest length allowed, 0 for none.
 func (s *Sidecar) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +102,69 @@
 		})
 	}
 }
+
+// TestEndlessResponseMemory guards against memory that grows with responses without end whose
+// callers read nothing, and against other callers that are not served meanwhile.
+func TestEndlessResponseMemory(t *testing.T) {
+	const (
+		callers  = 40
+		allowed  = 800 * time.Millisecond
+		maxBytes = 32 << 20 // more than 64 KB of each response on its way through two daemons
+	)
+	forms := []struct{ name, beginning, piece string }{
+		{"body until the close", "HTTP/1.1 200 OK\r\nId: 42\r\n\r\n", "x"},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nId: 42\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\n12345678\r\n"},
+		{"head", "HTTP/1.1 200 OK\r\nId: 42\r\n", "A: b\r\n"},
+		{"no answer at all", "", "x"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body of a failure", "HTTP/1.1 500 Internal Server Error\r\nId: 42\r\n\r\n", "x"},
+	}
+	for _, form := range forms {
+		for _, daemons := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d daemons", form.name, daemons), func(t *testing.T) {
+				is := is.New(t)
+				p := startPath(t, daemons, allowed, func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodPost {
+						sendEndlessly(w, form.beginning, form.piece)
+					}
+				})
+				p.beside.registerTarget("i-2", callers+10)
+				p.entry.roster.Merge(p.beside.ownRecord())
+				address := strings.TrimSuffix(strings.TrimPrefix(p.url, "http://"), "/slots/1")
+				runtime.GC()
+				var before, during runtime.MemStats
+				runtime.ReadMemStats(&before)
+				for range callers {
+					conn, err := net.Dial("tcp4", address)
+					is.NoErr(err)
+					defer conn.Close()
+					_, err = io.WriteString(conn, "POST /orders/1 HTTP/1.1\r\nHost: x\r\nId: 42\r\nContent-Length: 0\r\n\r\n")
+					is.NoErr(err)
+				}
+				for end := time.Now().Add(allowed / 2); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					runtime.ReadMemStats(&during)
+					is.True(during.HeapAlloc < before.HeapAlloc+maxBytes)
+				}
+				resp := p.send(t)
+				is.NoErr(resp.Body.Close())
+				is.Equal(resp.StatusCode, http.StatusOK) // another caller is served
+				is.True(p.becomes(0, time.Now().Add(allowed+time.Second)))
+			})
+		}
+	}
+}
+
+// sendEndlessly sends a beginning and then the same piece until the connection is closed.
+func sendEndlessly(w http.ResponseWriter, beginning, piece string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, beginning); err != nil {
+		return
+	}
+	pieces := bytes.Repeat([]byte(piece), 64<<10/len(piece))
+	for _, err = conn.Write(pieces); err == nil; _, err = conn.Write(pieces) {
+	}
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -134,6 +134,7 @@
 	s.log.Info("entry: answered.", "request", q.ID, "route", q.route.Name, "service", q.service, "status", resp.status,
 		"waited", now.Sub(q.arrivedAt), "work", resp.serviceTime, "left", q.deadline.Sub(now), "reached", q.reached+1,
 		"redirects", q.redirects, "version", s.config.Version())
+	s.endResponseAt(w, resp, q.deadline.Add(streamMargin))
 	s.respondEarly(w, r, q.stream)
 	err := resp.writeTo(w, r.Method == http.MethodHead)
 	if err == nil {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -47,6 +47,7 @@
 	}
 	resp, result := s.serveAttempt(ctx, r, stream, ref, params, cancel)
 	if result.err == nil {
+		s.endResponseAt(w, resp, params.deadline.Add(streamMargin))
 		s.respondEarly(w, r, stream)
 		if err := s.writeResponse(w, resp, r.Method == http.MethodHead); err != nil {
 			panic(http.ErrAbortHandler)
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -98,3 +98,34 @@
 		pool.Close()
 	}
 }
+
+// TestEndlessFraming guards against memory that grows with what frames a body without end,
+// and against a body that seems complete after it.
+func TestEndlessFraming(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := []struct{ name, beginning, piece string }{
+		{"size of a chunk", head, "0"},
+		{"extension of a chunk", head + "1;a=", "x"},
+		{"extensions of chunks", head, "1;a=bcdefghijklmnopqrstuvwxyz\r\nx\r\n"},
+		{"trailer fields", head + "0\r\n", "A: b\r\n"},
+		{"a trailer field", head + "0\r\nA: ", "x"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var group errgroup.Group
+			address, taken := endlessPeer(t, &group, c.beginning, c.piece)
+			pool := http1.New(address)
+			defer pool.Close()
+			start := time.Now()
+			r, err := pool.Do(t.Context(), &http1.Request{Method: http.MethodGet, Target: "/", Host: "x", Deadline: start.Add(5 * time.Second)})
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, r)
+			is.True(err != nil) // not complete
+			is.NoErr(r.Close())
+			is.NoErr(group.Wait())
+			is.True(time.Since(start) < 4*time.Second) // before the deadline
+			is.True(*taken < maxEndlessBytes)
+		})
+	}
+}
