--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -256,7 +256,7 @@
 			return nil, err
 		}
 		if m.GetHead() != nil {
-			return s.decodeAnswer(m, first.GetHead().GetAttempt())
+			return s.decodeAnswer(m, first.GetHead().GetAttempt(), r)
 		}
 		s.handleProceed(m, r)
 	}
@@ -331,7 +331,7 @@
 
 // decodeAnswer converts the first message of a response to an answer, or returns
 // the error that it carries.
-func (s *outboundStream) decodeAnswer(m *peerpb.InvokeResponse, id *peerpb.AttemptID) (*call.Answer, error) {
+func (s *outboundStream) decodeAnswer(m *peerpb.InvokeResponse, id *peerpb.AttemptID, r *call.Request) (*call.Answer, error) {
 	head := m.GetHead()
 	if decodeID(head.GetAttempt()) != decodeID(id) {
 		return nil, outcome.New(outcome.Unknown, outcome.ConnectionLost, "answer to another attempt")
@@ -344,7 +344,7 @@
 		}
 		return nil, e
 	}
-	body := &responseBody{stream: s}
+	body := &responseBody{stream: s, request: r}
 	body.accept(m)
 	return &call.Answer{
 		Outcome:       outcome.Outcome(head.GetOutcome()),
@@ -362,11 +362,12 @@
 
 // responseBody reads the frames of a response body.
 type responseBody struct {
-	stream *outboundStream
-	frame  []byte
-	size   int64
-	err    error
-	load   *peerpb.Load
+	stream  *outboundStream
+	request *call.Request
+	frame   []byte
+	size    int64
+	err     error
+	load    *peerpb.Load
 }
 
 // Read returns io.EOF only after the last message, and only if the size that it
@@ -381,6 +382,8 @@
 			b.err = errors.Mark(errors.Wrap(err, "response from peer"), call.ErrTruncated)
 			return 0, b.err
 		}
+		// The target may read on after it has begun to respond.
+		b.stream.handleProceed(m, b.request)
 		b.accept(m)
 	}
 	n := copy(p, b.frame)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -164,9 +164,9 @@
 	attemptTag uint64
 
 	// mu serialises the messages sent by the handler and by the reader of the
-	// request body, which may outlive the handler. It also guards responded.
-	mu        sync.Mutex
-	responded bool
+	// request body, which may outlive the handler. It also guards ended.
+	mu    sync.Mutex
+	ended bool // the last message was sent
 }
 
 // body returns the request body that starts in the first message, or nil if there
@@ -237,7 +237,7 @@
 	m.AttemptTag = x.attemptTag
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.responded = x.responded || m.GetHead() != nil
+	x.ended = x.ended || m.GetEnd()
 	return x.reply(m)
 }
 
@@ -245,14 +245,15 @@
 func (x *inboundStream) end() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.responded = true
+	x.ended = true
 }
 
-// proceed asks for the rest of the request body, unless the response has begun.
+// proceed asks for the rest of the request body, unless the response has ended. A target
+// may respond before it reads on.
 func (x *inboundStream) proceed() error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.responded {
+	if x.ended {
 		return call.ErrTruncated
 	}
 	return x.reply(&peerpb.InvokeResponse{AttemptTag: x.attemptTag, Proceed: true})
