--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -41,13 +41,14 @@
 	leaveUnannounced fault = "LeaveUnannounced"
 	endlessResponses fault = "EndlessResponses"
 	stalledBody      fault = "StalledBody"
+	earlyAnswer      fault = "EarlyAnswer"
 )
 
 // faults are the kinds from which a seed picks.
 var faults = []fault{
 	terminate, kill, freeze, reconfigure, storeBusy, storeSilent, drainTarget, crashTarget, loseResponses, delayLink,
 	resetLinks, cutInward, cutOutward, silenceLinks, cutStoreOutward, restoreStore, limitTarget, leaveUnannounced,
-	endlessResponses, stalledBody,
+	endlessResponses, stalledBody, earlyAnswer,
 }
 
 // disturb injects faults in series; some last and overlap with the next ones.
@@ -103,6 +104,10 @@
 		v.target.limitFor(limitLength)
 	case endlessResponses:
 		v.target.answerEndlessly(length)
+	case earlyAnswer:
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			v.upload()
+		}
 	case stalledBody:
 		v.stallBody()
 	case delayLink:
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -169,7 +169,8 @@
 	for i, service := range services {
 		routes = append(routes,
 			map[string]any{"name": "read-" + service, "host": "soak.example", "prefix": "/read/" + service + "/", "type": "safe", "timeoutS": 1.5, "targetLatencyS": 0.4, "priority": 1, "service": service, "maxAttempts": 2},
-			map[string]any{"name": "book-" + service, "host": "soak.example", "prefix": "/book/" + service + "/", "type": "unsafe", "timeoutS": 1.5, "targetLatencyS": 0.4, "priority": i, "service": service, "maxAttempts": 2})
+			map[string]any{"name": "book-" + service, "host": "soak.example", "prefix": "/book/" + service + "/", "type": "unsafe", "timeoutS": 1.5, "targetLatencyS": 0.4, "priority": i, "service": service, "maxAttempts": 2},
+			map[string]any{"name": "upload-" + service, "host": "soak.example", "prefix": "/upload/" + service + "/", "type": "upload", "timeoutS": 2.5, "targetLatencyS": 1, "priority": 2, "service": service, "maxAttempts": 2})
 	}
 	list := []map[string]any{}
 	for _, service := range services {
@@ -177,7 +178,7 @@
 	}
 	data, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("%08x", s.version), "routes": routes, "services": list,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 8 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
 	})
 	s.store.Put("op", "config", data)
 	return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -188,7 +188,10 @@
 
 // calmRequests is the number of requests from each VM after the last fault; one in eight
 // has a long answer.
-const calmRequests = 16
+const (
+	calmRequests = 16
+	calmUploads  = 3
+)
 
 // checkCalm sends requests from every VM after the last fault, and checks that no answer
 // is broken off.
@@ -202,6 +205,11 @@
 			for range calmRequests {
 				v.send(s.ctx, &client)
 			}
+			for range calmUploads {
+				if !v.upload() {
+					s.ledger.violate("LOST: an upload from %s that is answered early fails after the last fault", v.ip)
+				}
+			}
 			return nil
 		})
 	}
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -243,6 +243,10 @@
 }
 
 func (t *appTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/upload/") {
+		t.serveUpload(w, r)
+		return
+	}
 	arrived := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
