--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -39,6 +39,19 @@
 	WantAcknowledged bool
 }
 
+// outage returns that of the store.
+func (c departureCase) outage() rowstore.Outage {
+	switch c.Outage {
+	case "Silent":
+		return rowstore.Outage{Silent: true}
+	case "Busy":
+		return rowstore.Outage{Busy: true}
+	case "Lose":
+		return rowstore.Outage{Lose: 1}
+	}
+	return rowstore.Outage{}
+}
+
 // process is a daemon that can be killed and started again.
 type process struct {
 	settings sidecar.Settings
@@ -166,7 +179,7 @@
 		within(t, 5*time.Second, "served", func() bool { return serves(p) })
 	}
 	within(t, 2*time.Second, "recorded", func() bool { return strings.Contains(string(rows.Value("members", settings[0].ListenPeers)), "i-1") })
-	rows.SetOutage(rowstore.Outage{Silent: c.Outage == "Silent", Busy: c.Outage == "Busy", Lose: map[bool]float64{true: 1}[c.Outage == "Lose"]})
+	rows.SetOutage(c.outage())
 	beside := processes[:1]
 	if c.RestartedBefore {
 		kill(beside)
