http1: discard a response that is ready after its client has left

Callers saw: after clients had pipelined lookups and left early, no request got room any more, for good: 503, or a closed connection, until the daemon was restarted.

Cause: a pipelined request is prepared before its turn. If its client left meanwhile, the queue of the connection was dropped, and the response was stored in an entry that nobody had any more: neither written nor discarded. Its 128 KB, its own memory, its place among the exchanges and its count of active requests stayed taken.

Change: an entry that is dropped before its turn is marked, and its response is discarded when it is ready. An entry whose turn has begun is left to its turn. A read that ends after the close starts nothing. This covers every way in which a queue is dropped: close, reset, a request that the server reads differently.

--- a/io/http1/pipeline.go
+++ b/io/http1/pipeline.go
@@ -7,8 +7,11 @@
 	"pollenscale/internal/mutant"
 )
 
-// startPipelined is a mechanism that tests can switch off.
-var startPipelined = mutant.New("http1/start-pipelined")
+// Mechanisms that mutation tests switch off one at a time.
+var (
+	startPipelined = mutant.New("http1/start-pipelined")
+	discardGivenUp = mutant.New("http1/discard-given-up")
+)
 
 // maxEarly limits the requests of one connection that are started before their turn.
 const maxEarly = 8
@@ -32,12 +35,18 @@
 	done    chan struct{} // closed when prepared is set, nil unless started early
 	// prepared is nil if the request has to be handled in its turn.
 	prepared *Prepared
-	release  func() // gives back its memory, nil if there is none
+	// begun is set when its turn has come, which uses the response, and givenUp when its turn
+	// will not come any more.
+	begun, givenUp bool
+	release func() // gives back its memory, nil if there is none
 }
 
 // frame finds the requests in bytes that have arrived, and starts those that need not wait
 // for their turn. The caller holds the lock.
 func (c *ClientConn) frame(b []byte) {
+	if c.closed {
+		return
+	}
 	for _, r := range c.framer.feed(b) {
 		p := &pipelined{request: r}
 		if len(c.queue) > 0 {
@@ -103,7 +112,7 @@
 		prepared := c.early(ctx, p.request)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.closed && prepared != nil {
+		if p.givenUp && !discardGivenUp.Off() && prepared != nil {
 			prepared.Discard()
 			prepared = nil
 		}
@@ -113,15 +122,17 @@
 	})
 }
 
-// giveUpQueue ends the requests that have not been answered. The caller holds the lock.
+// giveUpQueue ends the requests that have not been answered. A response whose preparation goes
+// on is discarded when it ends. The caller holds the lock.
 func (c *ClientConn) giveUpQueue() {
 	for _, p := range c.queue {
 		p.giveBack()
+		p.givenUp = !p.begun
 		if p.cancel == nil {
 			continue
 		}
 		p.cancel()
-		if p.prepared != nil {
+		if p.givenUp && p.prepared != nil {
 			p.prepared.Discard()
 			p.prepared = nil
 		}
@@ -164,6 +175,7 @@
 	t := &Turn{conn: c}
 	if len(c.queue) > 0 && c.queue[0].matches(r) {
 		t.entry = c.queue[0]
+		t.entry.begun = true
 	} else {
 		c.giveUpQueue()
 	}
