sidecar: requests that their client abandons do not count against the target

Callers saw: after clients had left early, lookups at both daemons were not answered at all, with the crowd and after it; each waited until its client gave up.

Cause: an attempt whose client had gone counted as a failure of the target, at the target's daemon and at the entry. Eight of them in a row made the target "failing", which gets one request at a time until one succeeds.

Change: a request that was cancelled since its client has gone gives its slot back without a sample for the limit, and is no failure for the choice of targets. Targets that do not answer are still found by the detector of hanging requests, by deadlines and by lost connections.

--- a/core/admit/ticket.go
+++ b/core/admit/ticket.go
@@ -97,6 +97,8 @@
 	failed   ending = "failed"   // it ran, and failed or may have failed
 	rejected ending = "rejected" // the target refused to run it
 	unsent   ending = "unsent"
+	// abandoned requests were cancelled by their client, which says nothing about the target.
+	abandoned ending = "abandoned"
 )
 
 // Release gives back the slot after the target answered.
@@ -108,6 +110,9 @@
 // ReleaseRefused gives back the slot after the target refused the request.
 func (t *Ticket) ReleaseRefused() { t.finish(rejected) }
 
+// ReleaseAbandoned gives back the slot of a request that its client cancelled at the target.
+func (t *Ticket) ReleaseAbandoned() { t.finish(abandoned) }
+
 // ReleaseUnused gives back a slot whose request was not sent to the target.
 func (t *Ticket) ReleaseUnused() { t.finish(unsent) }
 
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -95,7 +95,7 @@
 	if resp != nil {
 		return choice.Result{Failed: resp.status >= http.StatusInternalServerError, Suspected: suspected}
 	}
-	refused := result.err.Outcome == outcome.NotRun && !result.refusedByTarget
+	refused := result.err.Outcome == outcome.NotRun && !result.refusedByTarget || abandonedByClient(result.err)
 	return choice.Result{Refused: refused, Failed: !refused, Suspected: suspected}
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -17,6 +17,7 @@
 	"pollenscale/core/poison"
 	"pollenscale/core/policy"
 	"pollenscale/core/wait"
+	"pollenscale/internal/mutant"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -163,6 +164,8 @@
 		ticket.ReleaseRefused()
 	case result.err != nil && result.err.Outcome == outcome.NotRun:
 		ticket.ReleaseUnused()
+	case abandonedByClient(result.err):
+		ticket.ReleaseAbandoned()
 	case result.err != nil || resp.status >= http.StatusInternalServerError:
 		ticket.Fail()
 	default:
@@ -170,6 +173,15 @@
 	}
 }
 
+// abandonedByClient reports whether an attempt ended because its client has gone. That must not
+// count against the target: clients that leave early would make it seem to fail.
+func abandonedByClient(err *outcome.Error) bool {
+	return err != nil && err.Reason == outcome.Cancelled && !ignoreAbandoned.Off()
+}
+
+// ignoreAbandoned is a mechanism that tests can switch off.
+var ignoreAbandoned = mutant.New("sidecar/ignore-abandoned")
+
 // reportRun logs and measures how long a request waited for its slot and what the target
 // made of it.
 func (s *Sidecar) reportRun(a *localAttempt, view localtarget.View, resp *response, result attemptResult, queued, took time.Duration) {
