admit: a target that has failed gets a request beside those of others

Cause: a target that fails most requests has a single slot until one succeeds. A request at the target that the daemon does not have under way (the target reports it as its load) took this slot away, and so no request ran whose answer could show that the target works again, or replace the reported load.

Change: while the target fails, requests without a ticket take no slot.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -355,7 +355,7 @@
 	if q.paused {
 		return 0
 	}
-	free := q.limit.Value() - q.running - len(q.heldUntil) - q.foreign
+	free := q.limit.Value() - q.occupied()
 	if free == 0 && q.limit.AllowTrial(q.running, now) {
 		free = 1
 	}
@@ -454,7 +454,7 @@
 		// of a pause does not depend on how long it has lasted.
 		pause = max(q.pauseLength, minPause)
 	}
-	if q.running+len(q.heldUntil)+q.foreign < slots && q.queued == 0 {
+	if q.occupied() < slots && q.queued == 0 {
 		return max(seconds(pause), q.rate.Wait(1, now), q.cold.Wait(1, now))
 	}
 	left := 1.0
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -29,6 +29,8 @@
 	Submit       string
 	Release      string
 	Cancel       string
+	Fail         string
+	Foreign      int // requests at the target without a ticket, from this step on
 	Rank         fleet.Rank
 	Organisation fleet.Organisation
 	DeadlineMs   int
@@ -81,6 +83,10 @@
 					tickets[s.Release].Release()
 				case s.Cancel != "":
 					tickets[s.Cancel].Cancel()
+				case s.Fail != "":
+					tickets[s.Fail].Fail()
+				case s.Foreign > 0:
+					q.SetForeign(s.Foreign)
 				default:
 					q.Refresh()
 				}
