sidecar: places for requests go to the clients that have had the fewest

Cause: a request took one of the places for exchanges if one was free at that moment. The crowd had a request ready at all times and took each place within a fraction of a millisecond; a client that tries ten times a second met a free one by luck. Requests that are prepared before their turn took places as well, and attempts of other daemons shared the same places, so that a crowd at one daemon kept out the requests of others.

Change: core/fairqueue grants the places. A request waits for one, at most a quarter of its time; the next place goes to the client with the fewest places lately, by address, then by connection. Requests that got none count too, so that connections that retry at once rank behind one that waits. Requests before their turn neither wait nor take the second half of the places. Attempts of other daemons have places of their own, of which a quarter is left to daemons that have none. The guard of the listeners moves from internal/sidecar to io/client, for both programs.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # Packages with state shared between goroutines, tested with the race detector.
 RACE := ./core/admit ./core/attempt ./core/budget ./core/choice ./core/coldlimit ./core/config ./core/dispatch \
-	./core/evacuation ./core/freshness ./core/hang ./core/idempotency ./core/lease ./core/limit ./core/localtarget \
+	./core/evacuation ./core/fairqueue ./core/freshness ./core/hang ./core/idempotency ./core/lease ./core/limit ./core/localtarget \
 	./core/poison ./core/quota ./core/retry ./core/roster ./core/slowdown ./core/upload \
 	./internal/daemon ./internal/logs ./internal/sidecar ./io/... ./platform
 
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"pollenscale/core/fairqueue"
 	"pollenscale/core/fleet"
 	"pollenscale/internal/mutant"
 )
@@ -38,12 +39,13 @@
 	Control   Kind = "control"   // connections of the target's heartbeats
 	Metrics   Kind = "metrics"   // connections that read metrics
 	Exchanges Kind = "exchanges" // requests that may use a connection to a target or a daemon
+	Attempts  Kind = "attempts"  // those of other daemons, at the daemon of the target
 	Streams   Kind = "streams"   // requests whose body is passed on as it arrives
 )
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return []Kind{Callers, Nested, Peers, Ready, Control, Metrics, Exchanges, Streams}
+	return []Kind{Callers, Nested, Peers, Ready, Control, Metrics, Exchanges, Attempts, Streams}
 }
 
 const (
@@ -98,12 +100,12 @@
 	}
 	free := max(minDescriptors, descriptors-reservedDescriptors-ownDescriptors)
 	inMemory := int(memory / 6 / connectionBytes)
-	exchanges := free * 3 / 20
+	exchanges := max(1, free/10)
 	local := max(minLocal, min(free/20, inMemory/24))
 	return Limits{Bytes: memory / 4, Descriptors: map[Kind]int{
 		Callers: min(free/4, inMemory*5/8), Nested: min(free/8, inMemory/4), Peers: min(free*3/16, inMemory/2), Ready: local, Control: local, Metrics: local,
 		// Twice as many connections may be open: idle ones are kept for each address.
-		Exchanges: exchanges,
+		Exchanges: exchanges, Attempts: max(1, free/20),
 		// Bodies that stall at a target leave the other half to short requests.
 		Streams: max(1, exchanges/2),
 	}}
@@ -111,6 +113,10 @@
 
 // Account is the account of a process. It is safe for concurrent use.
 type Account struct {
+	// Exchanges and Attempts are the descriptors of requests. Those of other daemons are apart, so
+	// that clients at one daemon do not keep out those of another one.
+	Exchanges, Attempts *fairqueue.Queue
+
 	mu     sync.Mutex
 	limits Limits
 	bytes  fleet.Bytes
@@ -123,7 +129,10 @@
 
 // New returns an account with the limits.
 func New(limits Limits) *Account {
-	a := &Account{limits: limits, counts: map[Kind]int{}, idle: map[Kind]*list.List{}}
+	a := &Account{
+		limits: limits, counts: map[Kind]int{}, idle: map[Kind]*list.List{},
+		Exchanges: fairqueue.New(limits.Descriptors[Exchanges]), Attempts: fairqueue.New(limits.Descriptors[Attempts]),
+	}
 	for _, k := range Kinds() {
 		a.idle[k] = list.New()
 	}
@@ -139,35 +148,43 @@
 
 // Usage returns what is in use.
 func (a *Account) Usage() Usage {
+	exchanges, attempts := a.Exchanges.InUse(), a.Attempts.InUse()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u := Usage{Bytes: a.bytes, Descriptors: map[Kind]int{}, Ended: a.ended}
 	for k, n := range a.counts {
 		u.Descriptors[k] = n
 	}
+	u.Descriptors[Exchanges], u.Descriptors[Attempts] = exchanges, attempts
 	return u
 }
 
 // Limits returns the limits.
 func (a *Account) Limits() Limits { return a.limits }
 
-// Take takes a descriptor for a request and reports whether there is one. The caller gives it
-// back with Give.
-func (a *Account) Take(k Kind) bool {
+// TakeStream takes a place for a request whose body is passed on as it arrives, and reports whether
+// there is one. The caller gives it back with GiveStream. If there is none, the response whose
+// client has not read for longest is broken off, which makes room for later ones.
+func (a *Account) TakeStream(now time.Time) bool {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.counts[k] >= a.limits.Descriptors[k] && !limitConnections.Off() {
-		return false
+	if a.counts[Streams] < a.limits.Descriptors[Streams] || limitConnections.Off() {
+		a.counts[Streams]++
+		a.mu.Unlock()
+		return true
 	}
-	a.counts[k]++
-	return true
+	victim := a.unread(now)
+	a.mu.Unlock()
+	if victim != nil {
+		victim()
+	}
+	return false
 }
 
-// Give gives a descriptor back.
-func (a *Account) Give(k Kind) {
+// GiveStream gives a place back.
+func (a *Account) GiveStream() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.counts[k]--
+	a.counts[Streams]--
 }
 
 // reserve takes memory unless less than the steps would be left. The caller holds the lock.
@@ -194,6 +211,15 @@
 			return c.giveWay
 		}
 	}
+	return a.unread(now)
+}
+
+// unread takes the response that has not been read for longest out of the account and returns the
+// function that ends it, nil if there is none. The caller holds the lock.
+func (a *Account) unread(now time.Time) func() {
+	if stalledGiveWay.Off() {
+		return nil
+	}
 	if e := a.writes.Front(); e != nil {
 		if c, ok := e.Value.(*Conn); ok && now.Sub(c.since) >= writeStalledAfter {
 			c.remove()
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"os"
 	"slices"
 	"testing"
@@ -134,7 +135,7 @@
 		if c.descriptors == 0 {
 			continue
 		}
-		total := l.Descriptors[Exchanges]
+		total := l.Descriptors[Exchanges] + l.Descriptors[Attempts]
 		for _, k := range Kinds() {
 			if k != Streams {
 				total += l.Descriptors[k]
@@ -162,12 +163,13 @@
 	a := New(LimitsOf(184<<20, 4100))
 	now := time.Now()
 	conn, _ := a.Open(Callers, now, func() {})
+	flow := a.Exchanges.Open(netip.Addr{})
 	header := map[string][]string{"Host": {"a"}, "Accept": {"*/*"}, "User-Agent": {"a"}, "Authorization": {"b"}}
 	b.ReportAllocs()
 	for b.Loop() {
 		conn.ReadHead(500, now)
 		conn.Begin(now)
-		a.Take(Exchanges)
+		a.Exchanges.TryAcquire(flow, 0)
 		c := a.Claim(1)
 		c.Grow(RequestCost(header), now)
 		c.Grow(4096, now)
@@ -175,7 +177,7 @@
 		conn.BeginWrite(now)
 		conn.EndWrite(now)
 		c.Release()
-		a.Give(Exchanges)
+		a.Exchanges.Release(flow)
 		conn.End(now)
 	}
 }
--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollenscale/core/budget"
+	"pollenscale/io/client"
 )
 
 // maxReplayBytes is the largest body that is kept in memory for further attempts.
@@ -52,15 +53,15 @@
 	}
 	err := q.readBody(r, body, s.now)
 	if !q.claim.Read() {
-		s.countRefused(stalledBody, budget.Callers)
-		return errNoMemory
+		s.guard.CountRefused(client.Stalled, budget.Callers)
+		return client.ErrNoMemory
 	}
 	if err != nil {
 		return err
 	}
 	if q.stream != nil {
-		if q.streaming = s.account.Take(budget.Streams); !q.streaming {
-			return errTooManyStreams
+		if q.streaming = s.account.TakeStream(s.now()); !q.streaming {
+			return client.ErrNoStream
 		}
 		s.endBodyAt(w, r, q.deadline.Add(streamMargin))
 		return nil
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -9,9 +9,11 @@
 
 	"pollenscale/core/budget"
 	"pollenscale/core/exchange"
+	"pollenscale/core/fairqueue"
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/route"
+	"pollenscale/io/client"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -60,8 +62,8 @@
 	// the caller chooses the identifier.
 	nested    bool
 	claim     *budget.Claim
-	exchange  bool // holds a descriptor of budget.Exchanges
-	streaming bool // holds one of budget.Streams
+	exchange  *fairqueue.Flow // of the place among budget.Exchanges that the request holds, nil if none
+	streaming bool            // holds one of budget.Streams
 }
 
 // serveCaller serves requests of clients and of the target beside the daemon.
@@ -75,7 +77,7 @@
 	defer turn.End()
 	prepared := turn.Prepared()
 	if prepared == nil {
-		prepared = s.prepare(ctx, w, r)
+		prepared = s.prepare(ctx, w, r, false)
 	}
 	prepared.Respond(w, r)
 }
@@ -85,22 +87,27 @@
 // may run although the connection closes before they are answered.
 func (s *Sidecar) prepareEarly(ctx context.Context, r *http.Request) *http1.Prepared {
 	config := s.config.Current()
-	if config == nil || s.stopping.Load() {
+	if config == nil || s.stopping.Load() || !s.guard.SpareExchange() {
 		return nil
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if matched := config.Match(r.Host, path); matched == nil || !matched.Idempotent() {
 		return nil
 	}
-	return s.charged(func() *http1.Prepared { return s.prepare(ctx, nil, r) })
+	return s.charged(func() *http1.Prepared { return s.prepare(ctx, nil, r, true) })
 }
 
 // prepare obtains the response to a request, until the context of its client ends. The
-// writer may be nil if the request has no body.
-func (s *Sidecar) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request) *http1.Prepared {
+// writer may be nil if the request has no body. If the request is early, before its turn, and
+// there is no room for it, prepare returns nil.
+func (s *Sidecar) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request, early bool) *http1.Prepared {
 	s.activeRequests.Add(1)
 	now := s.now()
-	q, status, detail := s.parseRequest(w, r, now)
+	q, status, detail := s.parseRequest(ctx, w, r, now, early)
+	if q == nil && early && status == http.StatusServiceUnavailable {
+		s.activeRequests.Add(-1)
+		return nil
+	}
 	if q == nil {
 		return s.prepared(func() {}, func(w http.ResponseWriter, r *http.Request) { s.writeRejection(w, r, status, detail) })
 	}
@@ -178,7 +185,7 @@
 
 // parseRequest matches the request with a route and reads its body. If it fails, the
 // request is nil, and the status and the detail are those of the error response.
-func (s *Sidecar) parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*request, int, string) {
+func (s *Sidecar) parseRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, now time.Time, early bool) (*request, int, string) {
 	config := s.config.Current()
 	if config == nil {
 		return nil, http.StatusServiceUnavailable, "no configuration yet"
@@ -213,7 +220,7 @@
 	if most := config.Limits.HeaderBytes; most > 0 && len(r.RequestURI)+budget.HeaderLength(r.Header) > most {
 		return nil, http.StatusRequestHeaderFieldsTooLarge, "head too large"
 	}
-	if reason, detail := s.occupy(w, r, q, limit); detail != "" {
+	if reason, detail := s.occupy(ctx, w, r, q, limit, early); detail != "" {
 		q.release(s.account)
 		return nil, reason, detail
 	}
@@ -225,7 +232,7 @@
 func bodyFailure(err error) (int, string) {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory), errors.Is(err, errTooManyStreams):
+	case errors.Is(err, client.ErrNoMemory), errors.Is(err, client.ErrNoStream):
 		return http.StatusServiceUnavailable, err.Error()
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, "body too large"
--- a/internal/sidecar/guard_test.go
+++ b/internal/sidecar/guard_test.go
@@ -17,6 +17,7 @@
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
 	"pollenscale/core/route"
+	"pollenscale/io/client"
 	"pollenscale/io/http1"
 
 	"github.com/matryer/is"
@@ -44,13 +45,13 @@
 	})
 	limits := budget.LimitsOf(0, 0)
 	change(&limits)
-	g.entry.account = budget.New(limits)
+	g.entry.setAccount(budget.New(limits))
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = g.entry.callerServer()
 	tcp, ok := server.Listener.(*net.TCPListener)
 	is.New(t).True(ok)
-	server.Listener = g.entry.guard(server.Config, http1.Listener{
-		TCPListener: tcp, Early: g.entry.prepareEarly, Reserve: g.entry.reserveAhead,
+	server.Listener = g.entry.guard.Listen(server.Config, http1.Listener{
+		TCPListener: tcp, Early: g.entry.prepareEarly, Reserve: g.entry.guard.Reserve,
 	}, budget.Callers)
 	server.Start()
 	t.Cleanup(server.Close)
@@ -83,7 +84,7 @@
 	is.True(refused.Header.Get("Retry-After") != "")
 	is.True(refused.Close)
 	is.Equal(g.runs.Load(), int64(1))
-	is.Equal(g.entry.guardMeters.counters[stalledBody].Get(), uint64(1))
+	is.Equal(g.entry.guard.Refused(client.Stalled), uint64(1))
 	is.True(g.becomes(0, time.Now().Add(time.Second)))
 	is.Equal(g.entry.account.Usage().Bytes, fleet.Bytes(0)) // everything was given back
 }
@@ -95,12 +96,12 @@
 		name   string
 		change func(*budget.Limits)
 		length int
-		reason gaveWay
+		reason client.Reason
 	}{
-		{"no memory for the head", func(l *budget.Limits) { l.Bytes = 30 << 10 }, 10, noMemory},
-		{"no memory for the body", func(l *budget.Limits) { l.Bytes = 50 << 10 }, 100 << 10, noMemory},
-		{"no exchange", func(l *budget.Limits) { l.Descriptors[budget.Exchanges] = 0 }, 10, noExchange},
-		{"no stream", func(l *budget.Limits) { l.Descriptors[budget.Streams] = 0 }, 2 << 20, noStream},
+		{"no memory for the head", func(l *budget.Limits) { l.Bytes = 30 << 10 }, 10, client.Memory},
+		{"no memory for the body", func(l *budget.Limits) { l.Bytes = 50 << 10 }, 100 << 10, client.Memory},
+		{"no exchange", func(l *budget.Limits) { l.Descriptors[budget.Exchanges] = 0 }, 10, client.Exchanges},
+		{"no stream", func(l *budget.Limits) { l.Descriptors[budget.Streams] = 0 }, 2 << 20, client.Streams},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -115,7 +116,7 @@
 			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 			is.True(resp.Header.Get("Retry-After") != "")
 			is.Equal(g.runs.Load(), int64(0))
-			is.Equal(g.entry.guardMeters.counters[c.reason].Get(), uint64(1))
+			is.Equal(g.entry.guard.Refused(c.reason), uint64(1))
 			is.Equal(g.entry.account.Usage().Bytes, fleet.Bytes(0))
 			is.Equal(g.entry.account.Usage().Descriptors[budget.Exchanges], 0)
 			is.Equal(g.entry.account.Usage().Descriptors[budget.Streams], 0)
@@ -186,7 +187,7 @@
 // of room without the proof that it has not run.
 func TestAttemptWithoutRoom(t *testing.T) {
 	is := is.New(t)
-	g := startGuarded(t, 0, func(l *budget.Limits) { l.Descriptors[budget.Exchanges] = 0 })
+	g := startGuarded(t, 0, func(l *budget.Limits) { l.Descriptors[budget.Attempts] = 0 })
 	header := http.Header{}
 	writeAttempt(header, attempt.Ref{
 		ID: attempt.ID{Daemon: "entry", Incarnation: 1, Sequence: 1}, OpenFrom: 1, Target: g.beside.incarnation(),
@@ -211,7 +212,7 @@
 		_, err := io.WriteString(conn, strings.Repeat("x", 100<<10))
 		is.NoErr(err)
 	}
-	for end := time.Now().Add(2 * time.Second); g.entry.guardMeters.counters[noStream].Get() < uint64(2*slots-slots/2) && time.Now().Before(end); {
+	for end := time.Now().Add(2 * time.Second); g.entry.guard.Refused(client.Streams) < uint64(2*slots-slots/2) && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.Equal(g.entry.longBodies.Load(), int64(slots/2))
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -57,9 +57,9 @@
 			return nil, errors.CombineErrors(err, closeListeners(servers))
 		}
 		if tcp, ok := listener.(*net.TCPListener); ok && p.server == callers {
-			listener = http1.Listener{TCPListener: tcp, Early: s.prepareEarly, Reserve: s.reserveAhead}
+			listener = http1.Listener{TCPListener: tcp, Early: s.prepareEarly, Reserve: s.guard.Reserve}
 		}
-		listener = s.guard(p.server, listener, p.kind)
+		listener = s.guard.Listen(p.server, listener, p.kind)
 		p.server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
 		servers = append(servers, server{Server: p.server, listener: listener})
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -93,9 +93,9 @@
 func (s *Sidecar) serveAttempt(
 	ctx context.Context, r *http.Request, stream *bodyStream, ref attempt.Ref, params attemptParams, cancel func(),
 ) (*response, attemptResult) {
-	claim, release, full := s.chargeAttempt(r, params)
+	claim, release, full := s.chargeAttempt(ctx, r, params)
 	if full != "" {
-		s.countRefused(full, budget.Peers)
+		s.guard.CountRefused(full, budget.Peers)
 		return nil, attemptResult{err: outcome.New(outcome.NotRun, outcome.Overloaded, "the daemon has no room: "+string(full))}
 	}
 	defer release()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	"pollenscale/core/wait"
 	"pollenscale/core/worktime"
 	"pollenscale/io/announce"
+	"pollenscale/io/client"
 	"pollenscale/io/http1"
 
 	"github.com/cockroachdb/errors"
@@ -93,7 +94,7 @@
 	meters         meters
 	quotas         *quotas
 	account        *budget.Account // of what clients occupy
-	guardMeters    guardMeters
+	guard          *client.Guard
 	longBodies     atomic.Int64 // runs at the target whose bodies are passed on as they arrive
 }
 
@@ -135,8 +136,7 @@
 	s.evacuations.enabled, s.evacuations.OnChange = settings.Evacuation > 0, s.evacuationsChanged
 	s.meters = s.newMeters()
 	s.quotas = s.newQuotas()
-	s.account = budget.New(budget.LimitsOf(settings.Memory, settings.Descriptors))
-	s.guardMeters = newGuardMeters(s.meters.set, s.account)
+	s.setAccount(budget.New(budget.LimitsOf(settings.Memory, settings.Descriptors)))
 	s.publisher.wake = make(chan struct{}, 1)
 	s.ownIncarnation.Store(uint64(time.Now().UnixNano()))
 	s.sentAttempts.Daemon = s.id
--- a/internal/sidecar/unproved_test.go
+++ b/internal/sidecar/unproved_test.go
@@ -11,6 +11,7 @@
 	"pollenscale/core/exchange"
 	"pollenscale/core/route"
 	"pollenscale/io/announce"
+	"pollenscale/io/client"
 	"pollenscale/standin/memstore"
 
 	"github.com/matryer/is"
@@ -45,7 +46,7 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(detail, detailUnproved)
 	w = httptest.NewRecorder()
-	s.writeRejection(w, r, http.StatusServiceUnavailable, errNoMemory.Error())
+	s.writeRejection(w, r, http.StatusServiceUnavailable, client.ErrNoMemory.Error())
 	is.Equal(w.Header().Get("Retry-After"), "0.050")
 }
 
--- a/internal/untrusted/process_test.go
+++ b/internal/untrusted/process_test.go
@@ -123,7 +123,8 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
+		detail, err := io.ReadAll(io.LimitReader(resp.Body, 100))
+		return fmt.Errorf("status %d: %q, %v", resp.StatusCode, detail, err)
 	}
 	return nil
 }
--- a/internal/sidecar/reserveahead_test.go
+++ b/io/client/reserve_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package client
 
 import (
 	"log/slog"
@@ -10,6 +10,7 @@
 	"pollenscale/core/budget"
 	"pollenscale/io/http1"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -19,22 +20,20 @@
 // connection itself for that memory, since its client does not read the response before.
 func TestReserveAheadClosesConnection(t *testing.T) {
 	is := is.New(t)
-	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{}, WithLog(slog.New(slog.DiscardHandler)))
-	s.account = budget.New(budget.Limits{Bytes: 1 << 10, Descriptors: map[budget.Kind]int{budget.Callers: 10}})
+	account := budget.New(budget.Limits{Bytes: 1 << 10, Descriptors: map[budget.Kind]int{budget.Callers: 10}})
+	guard := New(account, metrics.NewSet(), WithLog(slog.New(slog.DiscardHandler)))
 	tcp, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	is.NoErr(err)
-	listener := http1.Listener{TCPListener: tcp, Reserve: s.reserveAhead}
-	client, err := net.Dial("tcp4", tcp.Addr().String())
+	listener := http1.Listener{TCPListener: tcp, Reserve: guard.Reserve}
+	peer, err := net.Dial("tcp4", tcp.Addr().String())
 	is.NoErr(err)
 	accepted, err := listener.Accept()
 	is.NoErr(err)
-	g := &guardedConn{Conn: accepted, sidecar: s, kind: budget.Callers}
 	long := time.Now().Add(-time.Minute)
-	entry, ok := s.account.Open(budget.Callers, long, g.end)
+	g, ok := guard.Open(accepted, budget.Callers)
 	is.True(ok)
-	g.entry = entry
-	entry.Begin(long)
-	entry.BeginWrite(long)
+	g.entry.Begin(long)
+	g.entry.BeginWrite(long)
 	g.serving.Store(true)
 
 	var group errgroup.Group
@@ -44,7 +43,7 @@
 		_, err := g.Read(make([]byte, 1)) // one byte, as net/http reads during a request
 		return err
 	})
-	_, err = client.Write([]byte(http.MethodGet))
+	_, err = peer.Write([]byte(http.MethodGet))
 	is.NoErr(err)
 	select {
 	case <-read:
@@ -52,8 +51,8 @@
 		t.Fatal("the read of a later request does not end")
 	}
 	is.NoErr(group.Wait())
-	is.Equal(s.account.Usage().Ended, 0)
+	is.Equal(account.Usage().Ended, 0)
 	is.NoErr(g.Close())
-	is.NoErr(client.Close())
+	is.NoErr(peer.Close())
 	is.NoErr(tcp.Close())
 }
--- a/io/http1/pipeline.go
+++ b/io/http1/pipeline.go
@@ -38,7 +38,7 @@
 	// begun is set when its turn has come, which uses the response, and givenUp when its turn
 	// will not come any more.
 	begun, givenUp bool
-	release func() // gives back its memory, nil if there is none
+	release        func() // gives back its memory, nil if there is none
 }
 
 // frame finds the requests in bytes that have arrived, and starts those that need not wait
@@ -106,7 +106,7 @@
 }
 
 func (c *ClientConn) start(p *pipelined) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.ctx)
 	p.cancel, p.done = cancel, make(chan struct{})
 	c.group.Go(func() error {
 		prepared := c.early(ctx, p.request)
--- a/io/http1/watch.go
+++ b/io/http1/watch.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watched := &ClientConn{TCPConn: c, early: l.Early, reserve: l.Reserve}
+	watched := &ClientConn{TCPConn: c, early: l.Early, reserve: l.Reserve, ctx: context.Background()}
 	watched.changed.L = &watched.mu
 	return watched, nil
 }
@@ -65,8 +65,13 @@
 	reserve Reserve
 	// releaseAhead gives back the memory of ahead, nil if there is none.
 	releaseAhead func()
+	ctx          context.Context // parent of those of requests that are started early
 }
 
+// SetContext sets the parent of the contexts of requests that are started before their turn. It
+// is called before the first read.
+func (c *ClientConn) SetContext(ctx context.Context) { c.ctx = ctx }
+
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
