sidecar: stalled heads and long bodies no longer keep bookings out of the memory

What callers saw: beside crowds with heads that they do not end, or with requests of many lines, an ordinary booking of 1,000 bytes got 503 "no memory for the request" in each try for 8 s, while lookups were served (TestUntrustedClients, cases "odd lines", "short lines" and "heads without end").

Cause: heads may use up to 13/16 of the memory of requests, and bodies of any size only 10/16. Once heads held more than that, no body could be read; an incomplete head gave way only to another head.

Change: the connection whose head is incomplete for longest, at least 1 s, gives way to the memory of a request. The part that bodies leave to others depends on their length: nothing up to 16 KB, 1/16 up to 64 KB, 3/16 up to 256 KB, and 6/16 as before above it. A head on a kept connection counts from its first byte, so that an old connection with a new head does not give way.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -24,6 +24,8 @@
 	chargeMemory     = mutant.New("budget/charge-memory")
 	limitConnections = mutant.New("budget/limit-connections")
 	stalledGiveWay   = mutant.New("budget/stalled-give-way")
+	headsGiveWay     = mutant.New("budget/heads-give-way")
+	shortBodiesFirst = mutant.New("budget/short-bodies-first")
 )
 
 // Kind is what a descriptor is used for. Each kind has a limit of its own, so that clients on
@@ -67,6 +69,9 @@
 	// bodyStalledAfter is the time without a byte after which a body makes no progress. A
 	// segment that is lost once is sent again within it.
 	bodyStalledAfter = time.Second
+	// headStalledAfter is the time after which an incomplete head gives way. A segment that is lost
+	// once is sent again within it.
+	headStalledAfter = time.Second
 	// writeStalledAfter is the time of one write after which its client makes no progress.
 	// At 10 Mbit/s, a third of a send buffer of 4 MB, which ends the write, takes 1.1 s.
 	writeStalledAfter = 2 * time.Second
@@ -75,8 +80,13 @@
 	urgencySteps = 16
 	// maxUrgencySteps is the number of priorities that are distinguished.
 	maxUrgencySteps = 3
-	// bodySteps are the steps that bodies leave to heads and to requests without a body.
+	// bodySteps are the steps that the longest bodies leave to heads and to other requests.
 	bodySteps = 6
+	// shortBody, mediumBody and longBody are the sizes of buffers up to which bodies leave fewer
+	// steps.
+	shortBody  fleet.Bytes = 16 << 10
+	mediumBody fleet.Bytes = 64 << 10
+	longBody   fleet.Bytes = 256 << 10
 )
 
 // Limits are what the account allows.
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -20,6 +21,7 @@
 	Open, Begin, BeginWrite, EndWrite, Head, Grow, GrowBody, Reading, Read string
 	Progress                                                               string
 	Bytes                                                                  fleet.Bytes
+	Size                                                                   fleet.Bytes // of the buffer of a body
 	Priority                                                               int
 	Refused                                                                bool
 	Ended                                                                  []string // that give way
@@ -107,7 +109,7 @@
 	case st.Grow != "":
 		return s.claim(st.Grow, st.Priority).Grow(st.Bytes, now)
 	case st.GrowBody != "":
-		return s.claim(st.GrowBody, st.Priority).GrowBody(st.Bytes, now)
+		return s.claim(st.GrowBody, st.Priority).GrowBody(st.Bytes, cmp.Or(st.Size, 1<<20), now)
 	case st.Reading != "":
 		s.claim(st.Reading, st.Priority).Reading(now, giveWay(st.Reading))
 	case st.Progress != "":
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -26,11 +26,30 @@
 }
 
 // Grow adds memory to the claim and reports whether there is some. If there is none, the body
-// that has stalled longest gives way.
+// that has stalled longest gives way, and then the head that is incomplete for longest.
 func (c *Claim) Grow(n fleet.Bytes, now time.Time) bool { return c.grow(n, 0, now) }
 
-// GrowBody is Grow for a part of the body.
-func (c *Claim) GrowBody(n fleet.Bytes, now time.Time) bool { return c.grow(n, bodySteps, now) }
+// GrowBody is Grow for the buffer of a body, which has grown to size with it. Long bodies leave
+// more of the memory to others than short ones.
+func (c *Claim) GrowBody(n, size fleet.Bytes, now time.Time) bool {
+	return c.grow(n, bodyStepsOf(size), now)
+}
+
+// bodyStepsOf returns the steps that a body of a size leaves to heads, to requests without a body
+// and to shorter bodies.
+func bodyStepsOf(size fleet.Bytes) int {
+	switch {
+	case shortBodiesFirst.Off():
+		return bodySteps
+	case size <= shortBody:
+		return 0
+	case size <= mediumBody:
+		return 1
+	case size <= longBody:
+		return bodySteps / 2
+	}
+	return bodySteps
+}
 
 // GrowFree is Grow for memory that the request can do without: nothing gives way to it. It calls no
 // function that ends a connection, so that the caller may hold the lock of one.
@@ -58,6 +77,9 @@
 	ok := !c.ended && a.reserve(n, steps)
 	for !ok && !c.ended {
 		victim := a.stalled(now)
+		if victim == nil {
+			victim = a.longestHead(now)
+		}
 		if victim == nil {
 			break
 		}
--- a/core/budget/conn.go
+++ b/core/budget/conn.go
@@ -26,6 +26,7 @@
 	since   time.Time // of the state
 	element *list.Element
 	bytes   fleet.Bytes // of an incomplete head
+	headAt  time.Time   // when its first bytes arrived
 }
 
 // Open records a new connection, which end closes. If there are too many of the kind, the
@@ -71,6 +72,29 @@
 	return c.end
 }
 
+// longestHead takes the connection out of the account whose head is incomplete for longest, and
+// returns the function that closes it, nil if there is none. The caller holds the lock.
+func (a *Account) longestHead(now time.Time) func() {
+	if headsGiveWay.Off() {
+		return nil
+	}
+	var longest *Conn
+	for _, k := range []Kind{Callers, Nested, Peers} {
+		for e := a.idle[k].Front(); e != nil; e = e.Next() {
+			c, ok := e.Value.(*Conn)
+			if ok && c.bytes > 0 && now.Sub(c.headAt) >= headStalledAfter && (longest == nil || c.headAt.Before(longest.headAt)) {
+				longest = c
+			}
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	longest.remove()
+	a.ended++
+	return longest.end
+}
+
 // set changes the state. The caller holds the lock.
 func (c *Conn) set(s state, now time.Time) {
 	a := c.account
@@ -166,6 +190,9 @@
 		ok = c.state != closed && a.reserve(cost, maxUrgencySteps)
 	}
 	if ok {
+		if c.bytes == 0 {
+			c.headAt = now
+		}
 		c.bytes += cost
 	}
 	a.mu.Unlock()
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -134,7 +134,7 @@
 		}
 		if len(read) == cap(read) {
 			size := min(limit, max(firstReadBytes, readGrowth*cap(read)))
-			if !claim.GrowBody(fleet.Bytes(size-cap(read)), now()) {
+			if !claim.GrowBody(fleet.Bytes(size-cap(read)), fleet.Bytes(size), now()) {
 				return nil, false, client.ErrNoMemory
 			}
 			read = append(make([]byte, 0, size), read...)
