daemon: pollenscale daemon limits what clients occupy

What callers saw: 60 clients took up to 729 MB of a process that is meant for 64 (1,500 short header lines on each of 50 HTTP/2 streams; 344 MB with bodies that stop short of their end, 157 MB with long responses), or all 300 descriptors of the process; in the three cases of streams ordinary requests got no answer.

Cause: only sidecar had an account of what clients occupy. The daemon accepted any number of connections on its three addresses, up to 1,000 streams on each with windows of 256 KB, and any number of requests at once.

Change: the guard of io/client and the account of core/budget, from the new setting Memory (64 MB by default) and the limit of open files. Connections are limited on the addresses of callers, daemons and operators; a request is charged when its handler starts, takes a place after the first 32 KB of its body were read (dispatch.Occupy) and a stream if there is more; attempts of other daemons have places of their own. A refusal is 503 with Retry-After and NotRun; the one of an attempt is recorded, so that it binds. An HTTP/2 connection may give way while none of its requests may be at a target. 250 streams a connection, windows of 64 and 128 KB, frames of 16 KB; a response must have been read 0.5 s after the deadline.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -94,6 +94,11 @@
 	// ran.
 	Settle func(context.Context, fleet.Target, attempt.Ref) (attempt.Settlement, error)
 
+	// Occupy takes a place for a request after the first part of its body was read, and before
+	// it is sent anywhere. It returns a function that gives the place back, or an *outcome.Error
+	// with NotRun. Nil means that there are always places.
+	Occupy func(context.Context, *call.Request) (release func(), err error)
+
 	// OnRequest is called for each request before its first attempt. DecideRetry is
 	// called before each further attempt, with the failed one; if it is nil,
 	// Retry.MaxAttempts attempts are allowed.
@@ -130,12 +135,48 @@
 }
 
 func (d *Dispatcher) dispatchByRoute(ctx context.Context, service *policy.Service, route policy.Route, r *call.Request) (*call.Answer, error) {
-	if r.Deferred {
-		return d.acceptDeferred(ctx, service, route, r)
+	if err := d.readHead(route, r); err != nil {
+		return nil, err
 	}
-	if err := d.fingerprint(r); err != nil {
+	release, err := d.occupy(ctx, r)
+	if err != nil {
 		return nil, d.inDoubtIfKeyed(route, r, err)
 	}
+	answer, err := d.dispatchOccupied(ctx, service, route, r)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	answer.Body = &closeHook{ReadCloser: answer.Body, onClose: release}
+	return answer, nil
+}
+
+// readHead reads the first part of the body.
+func (d *Dispatcher) readHead(route policy.Route, r *call.Request) error {
+	if !r.Deferred {
+		return d.inDoubtIfKeyed(route, r, d.fingerprint(r))
+	}
+	if !route.Deferrable {
+		return outcome.New(outcome.NotRun, outcome.BadRequest, "Pollenscale-Deferred: the route "+r.Method+" "+r.Path+" takes no deferred requests")
+	}
+	if _, _, err := r.Body.Head(r.ContentLength); err != nil {
+		return outcome.New(outcome.NotRun, outcome.BadRequest, err.Error())
+	}
+	return nil
+}
+
+// occupy takes a place for the request.
+func (d *Dispatcher) occupy(ctx context.Context, r *call.Request) (release func(), err error) {
+	if d.Occupy == nil {
+		return func() {}, nil
+	}
+	return d.Occupy(ctx, r)
+}
+
+func (d *Dispatcher) dispatchOccupied(ctx context.Context, service *policy.Service, route policy.Route, r *call.Request) (*call.Answer, error) {
+	if r.Deferred {
+		return d.acceptDeferred(ctx, service, r)
+	}
 	if d.keyed(route, r) {
 		return d.keyedCall(ctx, service, r)
 	}
@@ -157,10 +198,7 @@
 	return nil
 }
 
-func (d *Dispatcher) acceptDeferred(ctx context.Context, service *policy.Service, route policy.Route, r *call.Request) (*call.Answer, error) {
-	if !route.Deferrable {
-		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, "Pollenscale-Deferred: the route "+r.Method+" "+r.Path+" takes no deferred requests")
-	}
+func (d *Dispatcher) acceptDeferred(ctx context.Context, service *policy.Service, r *call.Request) (*call.Answer, error) {
 	if d.AcceptDeferred == nil {
 		return nil, outcome.New(outcome.NotRun, outcome.StoreDown, "deferred requests cannot be stored here")
 	}
--- a/core/dispatch/prepare.go
+++ b/core/dispatch/prepare.go
@@ -80,7 +80,9 @@
 func bodyReadError(err error) error {
 	var e *outcome.Error
 	if errors.As(err, &e) {
-		return outcome.New(outcome.NotRun, e.Reason, e.Detail)
+		notRun := *e
+		notRun.Outcome = outcome.NotRun
+		return &notRun
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return outcome.New(outcome.NotRun, outcome.BadRequest, "the body was sent too slowly")
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -22,9 +22,10 @@
 	// gcPercent makes garbage collections rare: the live heap is only a few
 	// megabytes, and each collection delays the calls in progress.
 	gcPercent = 800
-	// memoryLimit makes the garbage collector run more often before the process
-	// reaches its memory budget of 64 MB.
-	memoryLimit = 36 << 20
+	// memoryShare and memoryParts are the part of its memory at which the garbage collector runs
+	// more often. The rest is the program itself and what the runtime does not count.
+	memoryShare = 9
+	memoryParts = 16
 )
 
 func newDaemon() *cobra.Command {
@@ -59,7 +60,7 @@
 	if err := logs.Setup(c.ErrOrStderr(), s.LogLevel, s.LogFormat); err != nil {
 		return err
 	}
-	tuneRuntime()
+	tuneRuntime(s.Memory)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	stopTraces, err := otlp.Setup(ctx, otlp.Settings{
@@ -83,9 +84,9 @@
 // tuneRuntime configures the garbage collector for a process with a small heap
 // and a high rate of short calls. The environment variable GOGC takes
 // precedence over gcPercent.
-func tuneRuntime() {
+func tuneRuntime(memory fleet.Bytes) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(int64(memory / memoryParts * memoryShare))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pollenscale/core/attempt"
+	"pollenscale/core/budget"
 	"pollenscale/core/call"
 	"pollenscale/core/dispatch"
 	"pollenscale/core/fleet"
@@ -23,6 +24,7 @@
 	"pollenscale/internal/logs"
 	"pollenscale/internal/settings"
 	"pollenscale/io/caller"
+	"pollenscale/io/client"
 	"pollenscale/io/gossip"
 	"pollenscale/io/peer"
 	"pollenscale/io/peer/peerpb"
@@ -70,6 +72,8 @@
 	loadControl *loadControl
 	links       *links
 	meters      *meters
+	guard       *client.Guard
+	limits      budget.Limits
 	crashes     *crashTracker
 	keys        *keys
 	uploads     *uploads
@@ -98,6 +102,12 @@
 	return func(d *Daemon) { d.tables, d.objects = tables, objects }
 }
 
+// WithLimits sets what clients may occupy, which by default follows from the settings and from the
+// limits of the process.
+func WithLimits(limits budget.Limits) Option {
+	return func(d *Daemon) { d.limits = limits }
+}
+
 // WithVersion sets the program version that the operator endpoints report.
 func WithVersion(version string) Option {
 	return func(d *Daemon) { d.version = version }
@@ -256,8 +266,10 @@
 
 func (d *Daemon) buildEntrySide() {
 	d.meters = &meters{policy: d.config.current, set: metrics.NewSet()}
+	d.buildGuard()
 	d.Dispatch = &dispatch.Dispatcher{
 		Policy:      d.config.current,
+		Occupy:      d.occupy,
 		Sequencer:   &attempt.Sequencer{Daemon: d.Self.Daemon, Incarnation: d.Self.Incarnation},
 		Choose:      d.chooseTarget,
 		Observe:     d.observe,
@@ -311,7 +323,7 @@
 
 func (d *Daemon) buildServers() {
 	d.PeerServer = &peer.Server{
-		Invoke:          d.Serve.Invoke,
+		Invoke:          d.invokeForPeer,
 		Settle:          d.Attempts.Settle,
 		Load:            d.Load,
 		AllowProbe:      func() bool { return d.loadControl.probeLimiter.Allow(time.Now()) },
@@ -319,8 +331,9 @@
 		ExchangeMembers: d.members.handleExchange,
 		FetchConfig:     d.config.handleFetch,
 	}
+	d.PeerServer.Guard = d.guard
 	d.PeerServer.Init()
-	d.Caller = &caller.Server{Do: d.meters.countRequests(d.Dispatch.Do), Log: logs.With(d.Log, logs.Caller)}
+	d.Caller = &caller.Server{Do: d.meters.countRequests(d.Dispatch.Do), Guard: d.guard, Log: logs.With(d.Log, logs.Caller)}
 	if d.uploads != nil {
 		d.Caller.Uploads = d.uploads
 	}
@@ -370,7 +383,7 @@
 	d.addServerActor(&g, "peer", func() error { return d.PeerServer.Serve(d.peerListener) }, d.PeerServer.Close)
 	d.addServerActor(&g, "caller", func() error { return d.serveCallers(background) }, d.Caller.Close)
 	if d.operatorListener != nil {
-		d.addServerActor(&g, "operator", func() error { return d.operatorServer.Serve(d.operatorListener) }, d.operatorServer.Close)
+		d.addServerActor(&g, "operator", d.serveOperators, d.operatorServer.Close)
 	}
 	for _, task := range d.backgroundTasks() {
 		g.Add(func() error { return ignoreCancelled(background, task(background)) }, func(error) { stop() })
@@ -413,6 +426,11 @@
 	return d.Caller.Serve(d.callerListener)
 }
 
+// serveOperators serves the operator endpoints.
+func (d *Daemon) serveOperators() error {
+	return d.operatorServer.Serve(d.guard.Listen(d.operatorServer, d.operatorListener, budget.Metrics))
+}
+
 // backgroundTasks returns the loops that run until their context ends, concurrently
 // with the servers.
 func (d *Daemon) backgroundTasks() []func(context.Context) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,8 @@
 	// tracing is off. TraceShare is the fraction of calls that are traced.
 	TraceEndpoint string  `validate:"omitempty,http_url"`
 	TraceShare    float64 `validate:"min=0,max=1"`
+	// Memory is that of the process. What clients occupy is limited to parts of it.
+	Memory fleet.Bytes `validate:"min=33554432"`
 	// Policy is the configuration that applies until a published one is known.
 	Policy *policy.Set
 	// Drain is how long a shutdown waits for callers to leave before it closes
@@ -60,6 +62,7 @@
 
 // Defaults of fields that may be omitted.
 const (
+	defaultMemory     fleet.Bytes         = 64 << 20
 	defaultDrain      policy.Milliseconds = 4000
 	defaultStop       policy.Milliseconds = 60000
 	defaultHealthPath                     = "/health"
@@ -78,7 +81,7 @@
 
 // Parse decodes and checks the settings in data and fills in defaults.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{Drain: defaultDrain, Stop: defaultStop, LogLevel: defaultLogLevel, LogFormat: logs.Text}
+	s := &Settings{Memory: defaultMemory, Drain: defaultDrain, Stop: defaultStop, LogLevel: defaultLogLevel, LogFormat: logs.Text}
 	s.Target.HealthPath = defaultHealthPath
 	if err := decode(data, s); err != nil {
 		return nil, err
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -16,8 +16,10 @@
 	"sync/atomic"
 	"time"
 
+	"pollenscale/core/budget"
 	"pollenscale/core/call"
 	"pollenscale/core/outcome"
+	"pollenscale/io/client"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -32,11 +34,18 @@
 	// rejectedBodyTimeout limits the wait for the rest of the body of a rejected
 	// request.
 	rejectedBodyTimeout = 500 * time.Millisecond
+	// responseMargin is the time after the deadline of a request after which its client must
+	// have read the response.
+	responseMargin = 500 * time.Millisecond
 	// maxStreams limits the concurrent requests on one connection.
-	maxStreams       = 1000
-	streamWindow     = 256 << 10
-	connectionWindow = 1 << 20
-	copyBufferBytes  = call.ReplayBytes
+	maxStreams = 250
+	// streamWindow and connectionWindow limit the part of request bodies that a client may send
+	// before it is read. Those of all connections count against the memory of the process.
+	streamWindow     = 64 << 10
+	connectionWindow = 128 << 10
+	// maxFrameBytes limits an HTTP/2 frame, for which a connection keeps a buffer.
+	maxFrameBytes   = 16 << 10
+	copyBufferBytes = call.ReplayBytes
 )
 
 // UploadPath is the path prefix of the status resources of deferred uploads.
@@ -46,11 +55,16 @@
 // all others to a target.
 func (s *Server) dispatch(c echo.Context) error {
 	r := c.Request()
+	room, err := s.Guard.Begin(requestCost(r), budget.Callers)
+	if err != nil {
+		return s.reject(c.Response().Writer, r, overloaded(err))
+	}
+	defer room.Release()
 	if s.Uploads != nil && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, UploadPath) {
 		s.Uploads.ServeHTTP(c.Response(), r)
 		return nil
 	}
-	return s.forward(c)
+	return s.forward(c, room)
 }
 
 // Server serves callers. Call Init before Serve.
@@ -59,6 +73,8 @@
 	Do func(context.Context, *call.Request) (*call.Answer, error)
 	// Uploads serves the status of deferred uploads; nil without a store.
 	Uploads http.Handler
+	// Guard charges connections and requests to the account of the process.
+	Guard *client.Guard
 	// Log receives connection-level failures, at debug level.
 	Log *slog.Logger
 
@@ -83,6 +99,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
 		HTTP2: &http.HTTP2Config{
+			MaxReadFrameSize:              maxFrameBytes,
 			MaxConcurrentStreams:          maxStreams,
 			MaxReceiveBufferPerConnection: connectionWindow,
 			MaxReceiveBufferPerStream:     streamWindow,
@@ -93,7 +110,7 @@
 // Serve accepts connections from l until Shutdown and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(l)
+	return s.http.Serve(s.Guard.Listen(s.http, l, budget.Callers))
 }
 
 // Drain makes callers reconnect elsewhere: from now on each HTTP/1.1 response
@@ -114,7 +131,7 @@
 }
 
 // forward sends one request to a target and returns its response to the caller.
-func (s *Server) forward(c echo.Context) error {
+func (s *Server) forward(c echo.Context, room *client.Request) error {
 	w, request := c.Response().Writer, c.Request()
 	if s.draining.Load() && request.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
@@ -123,12 +140,12 @@
 	if err != nil {
 		return s.reject(w, request, err)
 	}
-	s.attachBody(w, request, r)
-	answer, err := s.Do(request.Context(), r)
+	s.attachBody(w, request, r, room)
+	answer, err := s.Do(client.WithRequest(request.Context(), room), r)
 	if err != nil {
 		return s.reject(w, request, err)
 	}
-	s.writeResponse(w, answer)
+	s.writeResponse(w, answer, r.Deadline)
 	return nil
 }
 
@@ -144,12 +161,13 @@
 }
 
 // attachBody sets the body of r. Each read of it has a deadline.
-func (s *Server) attachBody(w http.ResponseWriter, request *http.Request, r *call.Request) {
+func (s *Server) attachBody(w http.ResponseWriter, request *http.Request, r *call.Request, room *client.Request) {
 	if request.ContentLength == 0 {
 		return
 	}
 	control := http.NewResponseController(w)
-	r.Body = call.NewBody(&deadlineReader{body: request.Body, control: control, request: r}, request.ContentLength)
+	room.ReadBody(func() { s.endBody(control) })
+	r.Body = call.NewBody(&deadlineReader{body: request.Body, control: control, request: r, room: room}, request.ContentLength)
 	if request.ProtoMajor == 1 && (request.ContentLength < 0 || request.ContentLength > call.ReplayBytes) {
 		if err := control.EnableFullDuplex(); err != nil {
 			s.Log.Debug("cannot enable full duplex.", "error", err)
@@ -159,12 +177,8 @@
 
 // writeResponse sends a response to the caller and aborts the connection or
 // stream if the response cannot be completed.
-func (s *Server) writeResponse(w http.ResponseWriter, answer *call.Answer) {
-	defer func() {
-		if err := answer.Body.Close(); err != nil {
-			s.Log.Debug("cannot close the response body.", "error", err)
-		}
-	}()
+func (s *Server) writeResponse(w http.ResponseWriter, answer *call.Answer, deadline time.Time) {
+	defer s.closeBody(answer)
 	p, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
 	first, end, err := readPrefix(*p, answer)
@@ -172,6 +186,9 @@
 		s.abortOnError(writeError(w, truncatedResponse(err)))
 		return
 	}
+	if end {
+		s.closeBody(answer)
+	}
 	h := w.Header()
 	for name, values := range answer.Header {
 		if !hopByHop(name) {
@@ -183,12 +200,21 @@
 		h["Content-Length"] = []string{strconv.FormatInt(answer.ContentLength, 10)}
 	}
 	w.WriteHeader(answer.Status)
+	s.endResponseAt(w, deadline.Add(responseMargin))
 	if _, err = w.Write((*p)[:first]); err == nil && !end {
 		err = copyBody(w, *p, answer)
 	}
 	s.abortOnError(err)
 }
 
+// closeBody closes the body of a response, which gives back its place. It may be called more than
+// once.
+func (s *Server) closeBody(answer *call.Answer) {
+	if err := answer.Body.Close(); err != nil {
+		s.Log.Debug("cannot close the response body.", "error", err)
+	}
+}
+
 // abortOnError aborts the connection or stream of an incomplete response.
 func (s *Server) abortOnError(err error) {
 	if err != nil {
@@ -249,6 +275,7 @@
 	control *http.ResponseController
 	// request provides the deadline, which is set before the first read.
 	request *call.Request
+	room    *client.Request
 }
 
 // Read reads from the caller, which must send data within stallTimeout and before
@@ -262,12 +289,20 @@
 		return 0, err
 	}
 	n, err := p.body.Read(b)
+	if n > 0 {
+		p.room.Progress()
+	}
 	if errors.Is(err, io.EOF) {
 		if err := p.control.SetReadDeadline(time.Time{}); err != nil {
 			return n, err
 		}
 		return n, io.EOF
 	}
+	if err != nil {
+		if refused := p.room.EndBody(); refused != nil {
+			return n, overloaded(refused)
+		}
+	}
 	// After an error the deadline stays set: net/http reads to the end of the body
 	// before it sends the response and would otherwise wait for a stalled caller.
 	return n, err
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"pollenscale/core/budget"
@@ -17,6 +18,11 @@
 	flow  *fairqueue.Flow // nil for local interfaces
 	// serving is set from the end of a head until its request and its body are done with.
 	serving atomic.Bool
+	// multiplexed is set for HTTP/2. The heads of its requests are charged when they are complete.
+	multiplexed atomic.Bool
+	// working is the number of requests of a multiplexed connection that have had a place.
+	workMu  sync.Mutex
+	working int
 	// headBytes have arrived since the last head was complete.
 	headBytes atomic.Int64
 }
@@ -31,7 +37,7 @@
 // Read charges the bytes of heads.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 || c.serving.Load() {
+	if n == 0 || c.serving.Load() || c.multiplexed.Load() {
 		return n, err
 	}
 	if most := c.guard.maxHeadBytes(); most > 0 && c.headBytes.Add(int64(n)) > most {
@@ -43,6 +49,36 @@
 	return n, err
 }
 
+// multiplex records that the connection carries several requests at once. It may give way to others
+// as long as none of them may be at a target.
+func (c *Conn) multiplex() {
+	c.workMu.Lock()
+	defer c.workMu.Unlock()
+	if !c.multiplexed.Swap(true) {
+		c.entry.End(c.guard.now())
+	}
+}
+
+// beginWork records that a request of the connection may be at a target from now on.
+func (c *Conn) beginWork() {
+	c.workMu.Lock()
+	defer c.workMu.Unlock()
+	c.working++
+	if c.working == 1 {
+		c.entry.Begin(c.guard.now())
+	}
+}
+
+// endWork records that such a request has ended.
+func (c *Conn) endWork() {
+	c.workMu.Lock()
+	defer c.workMu.Unlock()
+	c.working--
+	if c.working == 0 {
+		c.entry.End(c.guard.now())
+	}
+}
+
 // refuse counts a refusal and returns an error at which net/http closes the connection without
 // a response.
 func (c *Conn) refuse(reason Reason, err error) error {
--- a/io/client/guard.go
+++ b/io/client/guard.go
@@ -164,10 +164,15 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
+		if r.ProtoMajor > 1 {
+			c.multiplex()
+			handler.ServeHTTP(w, r)
+			return
+		}
 		c.serving.Store(true)
 		c.headBytes.Store(0)
 		c.entry.Begin(g.now())
-		if r.ContentLength != 0 && r.ProtoMajor == 1 {
+		if r.ContentLength != 0 {
 			// net/http may wait for the rest of a body that the handler did not read, without
 			// a time limit.
 			defer func() { c.entry.End(g.now()) }()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"pollenscale/core/attempt"
+	"pollenscale/core/budget"
 	"pollenscale/core/call"
 	"pollenscale/core/fleet"
 	"pollenscale/core/outcome"
+	"pollenscale/io/client"
 	"pollenscale/io/peer/peerpb"
 	"pollenscale/io/peer/peerpb/peerpbconnect"
 
@@ -32,6 +34,9 @@
 	// Load returns the current load of the target.
 	Load func() fleet.Load
 
+	// Guard charges connections to the account of the process; nil charges nothing.
+	Guard *client.Guard
+
 	// AllowProbe reports whether the probe budget allows another probe; nil allows
 	// all.
 	AllowProbe func() bool
@@ -46,6 +51,9 @@
 // Serve accepts connections from l until Shutdown and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
+	if s.Guard != nil {
+		l = s.Guard.Listen(s.http, l, budget.Peers)
+	}
 	return s.http.Serve(l)
 }
 
