sidecar, daemon: attempts wait for a place, and long bodies leave half of them

What callers saw: with crowds at five daemons that sent long bodies without their end to the one target of a service, ordinary lookups and bookings at these daemons got 503 "Overloaded" for 8 s (TestManyEntries, "unfinished bodies", "whole bodies", sometimes "unfinished chunks").

Cause: the daemon beside the target refused an attempt at once if no place was free, and bodies that stall on their way could hold all places until their deadlines.

Change: attempts wait in a fair queue, at most a quarter of their time; the next place goes to the daemon that has had the fewest lately. Those with long bodies do not wait and leave half of the places to others. The places that were kept for daemons without any go: the order of the queue does the same.

--- a/internal/daemon/room.go
+++ b/internal/daemon/room.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := room.TakeAttempt(ctx); err != nil {
+	if err := room.AwaitAttempt(ctx, r.Deadline, r.Body != nil && r.ContentLength < 0 || r.ContentLength > call.ReplayBytes); err != nil {
 		room.Release()
 		return nil, err
 	}
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -170,7 +170,7 @@
 	if !claim.Grow(budget.RequestCost(r.Header), s.now()) {
 		return nil, nil, client.Memory
 	}
-	place := s.guard.TakeAttempt(ctx)
+	place := s.guard.AwaitAttempt(ctx, params.deadline, r.ContentLength < 0 || r.ContentLength > maxReplayBytes)
 	if place == nil {
 		claim.Release()
 		return nil, nil, client.Attempts
--- a/io/client/places.go
+++ b/io/client/places.go
@@ -24,9 +24,9 @@
 	// waitParts is the part of its time that a request waits for a place at most, one of so many.
 	// The rest is for its run.
 	waitParts = 4
-	// attemptReserveParts is the part of the places for attempts that is left to daemons that have
-	// none, one of so many.
-	attemptReserveParts = 4
+	// longReserveParts is the part of the places for attempts that long bodies leave to others, one
+	// of so many.
+	longReserveParts = 2
 	// earlyReserveParts is the part of the places that requests before their turn leave to others,
 	// one of so many.
 	earlyReserveParts = 2
@@ -64,17 +64,22 @@
 	return g.account.Limits().Descriptors[budget.Exchanges] / earlyReserveParts
 }
 
-// TakeAttempt takes a place among the attempts for a request of another daemon. One that has some
-// leaves the last places to those that have none. It returns nil if there is none. The caller
-// releases the place.
-func (g *Guard) TakeAttempt(ctx context.Context) *fairqueue.Flow {
+// AwaitAttempt takes a place among the attempts for a request of another daemon, for which it waits a
+// part of the time until the deadline. One with a long body, which may stall, does not wait and
+// leaves half of the places to others. It returns nil if there is none. The caller releases the
+// place.
+func (g *Guard) AwaitAttempt(ctx context.Context, deadline time.Time, long bool) *fairqueue.Flow {
 	queue := g.account.Attempts
 	flow, _ := flowOf(ctx, queue)
-	reserved := 0
-	if flow.HeldByAddress() > 0 {
-		reserved = g.account.Limits().Descriptors[budget.Attempts] / attemptReserveParts
+	if long {
+		if !queue.TryAcquire(flow, g.account.Limits().Descriptors[budget.Attempts]/longReserveParts) {
+			return nil
+		}
+		return flow
 	}
-	if !queue.TryAcquire(flow, reserved) {
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(g.now())/waitParts)
+	defer cancel()
+	if err := queue.Acquire(ctx, flow, false); err != nil {
 		return nil
 	}
 	return flow
--- a/io/client/request.go
+++ b/io/client/request.go
@@ -73,9 +73,10 @@
 	return r.hold(ctx, r.guard.AwaitExchange(ctx, deadline), r.guard.account.Exchanges, Exchanges)
 }
 
-// TakeAttempt takes a place among the attempts. The error is ErrNoPlace.
-func (r *Request) TakeAttempt(ctx context.Context) error {
-	return r.hold(ctx, r.guard.TakeAttempt(ctx), r.guard.account.Attempts, Attempts)
+// AwaitAttempt takes a place among the attempts, for which it waits a part of the time until the
+// deadline unless its body is long. The error is ErrNoPlace.
+func (r *Request) AwaitAttempt(ctx context.Context, deadline time.Time, long bool) error {
+	return r.hold(ctx, r.guard.AwaitAttempt(ctx, deadline, long), r.guard.account.Attempts, Attempts)
 }
 
 // hold records a place in a queue, or the refusal if there is none.
