--- a/internal/daemon/room.go
+++ b/internal/daemon/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"pollenscale/core/attempt"
 	"pollenscale/core/budget"
@@ -15,10 +14,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// refusedRetryAfter is the time after which a request may be sent again for which there was no
-// room.
-const refusedRetryAfter = time.Second
-
 // buildGuard creates the guard of the servers.
 func (d *Daemon) buildGuard() {
 	if d.limits.Descriptors == nil {
@@ -46,7 +41,7 @@
 		return func() {}, nil // forwarded by the daemon that has charged it
 	}
 	if err := room.EndBody(); err != nil {
-		return nil, noRoom(err)
+		return nil, client.Refusal(err)
 	}
 	_, whole, err := r.Body.Head(r.ContentLength)
 	if err == nil && !whole {
@@ -56,7 +51,7 @@
 		err = room.AwaitExchange(ctx, r.Deadline)
 	}
 	if err != nil {
-		return nil, noRoom(err)
+		return nil, client.Refusal(err)
 	}
 	return room.ReleasePlace, nil
 }
@@ -82,13 +77,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := room.AwaitAttempt(ctx, r.Deadline, r.Body != nil && r.ContentLength < 0 || r.ContentLength > call.ReplayBytes); err != nil {
+	if err := room.AwaitAttempt(ctx, r.Deadline, hasLongBody(r)); err != nil {
 		room.Release()
 		return nil, err
 	}
 	return room, nil
 }
 
+// hasLongBody reports whether the body of an attempt may follow its first frame.
+func hasLongBody(r *call.Request) bool {
+	return r.Body != nil && (r.ContentLength < 0 || r.ContentLength > call.ReplayBytes)
+}
+
 // attemptCost returns the memory for an attempt of another daemon.
 func attemptCost(r *call.Request) fleet.Bytes {
 	cost := budget.RequestCost(r.Header)
@@ -106,12 +106,5 @@
 		return err
 	}
 	record.Finish(outcome.NotRun)
-	return noRoom(reason)
-}
-
-// noRoom returns the error of a request for which there is no room.
-func noRoom(reason error) *outcome.Error {
-	err := outcome.New(outcome.NotRun, outcome.Overloaded, reason.Error())
-	err.RetryAt = time.Now().Add(refusedRetryAfter)
-	return err
+	return client.Refusal(reason)
 }
--- a/internal/untrusted/daemon_test.go
+++ b/internal/untrusted/daemon_test.go
@@ -1,6 +1,7 @@
 package untrusted
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
@@ -126,7 +127,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	taken := false
-	transport := &http.Transport{Protocols: protocols, Dial: func(string, string) (net.Conn, error) {
+	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		if taken {
 			return nil, net.ErrClosed
 		}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -57,7 +57,7 @@
 	r := c.Request()
 	room, err := s.Guard.Begin(requestCost(r), budget.Callers)
 	if err != nil {
-		return s.reject(c.Response().Writer, r, overloaded(err))
+		return s.reject(c.Response().Writer, r, client.Refusal(err))
 	}
 	defer room.Release()
 	if s.Uploads != nil && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, UploadPath) {
@@ -300,7 +300,7 @@
 	}
 	if err != nil {
 		if refused := p.room.EndBody(); refused != nil {
-			return n, overloaded(refused)
+			return n, client.Refusal(refused)
 		}
 	}
 	// After an error the deadline stays set: net/http reads to the end of the body
--- a/io/caller/room.go
+++ b/io/caller/room.go
@@ -7,13 +7,8 @@
 	"pollenscale/core/budget"
 	"pollenscale/core/call"
 	"pollenscale/core/fleet"
-	"pollenscale/core/outcome"
 )
 
-// refusedRetryAfter is the time after which a client may send a request again for which there was
-// no room.
-const refusedRetryAfter = time.Second
-
 // requestCost returns the memory for a request: its head, and for a body its window, the part that
 // is kept for further attempts and the buffer through which the rest is copied.
 func requestCost(r *http.Request) fleet.Bytes {
@@ -30,13 +25,6 @@
 	return cost + size(streamWindow) + size(call.ReplayBytes) + size(copyBufferBytes)
 }
 
-// overloaded returns the error of a request for which there is no room.
-func overloaded(err error) *outcome.Error {
-	refused := outcome.New(outcome.NotRun, outcome.Overloaded, err.Error())
-	refused.RetryAt = time.Now().Add(refusedRetryAfter)
-	return refused
-}
-
 // endBody makes reads of a body fail.
 func (s *Server) endBody(control *http.ResponseController) {
 	if err := control.SetReadDeadline(time.Unix(1, 0)); err != nil {
--- a/io/client/request.go
+++ b/io/client/request.go
@@ -8,6 +8,7 @@
 	"pollenscale/core/budget"
 	"pollenscale/core/fairqueue"
 	"pollenscale/core/fleet"
+	"pollenscale/core/outcome"
 )
 
 // Request is what a request occupies in the process. Create it with Begin. Its methods are safe
@@ -122,6 +123,17 @@
 	}
 }
 
+// refusedRetryAfter is the time after which a request may be sent again for which there was no
+// room.
+const refusedRetryAfter = time.Second
+
+// Refusal returns the error of a request that is refused for want of room, which has not run.
+func Refusal(reason error) *outcome.Error {
+	err := outcome.New(outcome.NotRun, outcome.Overloaded, reason.Error())
+	err.RetryAt = time.Now().Add(refusedRetryAfter)
+	return err
+}
+
 // requestKey is the key of a Request in a context.
 type requestKey struct{}
 
