localtarget, roster: departures are joined, whoever writes last

Cause: a departure was a field of a record that is replaced as a whole. The restarted daemon ignored the state in its row once any heartbeat had arrived (State.Restore), and each peer replaced the record that held the departure by the first one of the new process, before that process asked for it. A drain that a later heartbeat had overtaken was acknowledged and ignored.

Evidence: logs of the case. The peers log the new record without a target 60 ms after the start, the late heartbeat gets verdict=Replaced, and the state in the row is never restored.

A peer sends a daemon the departures that its record lacks. The order of arrival no longer matters, which is why the fix holds for each way to leave and each source.

--- a/core/localtarget/localtarget.go
+++ b/core/localtarget/localtarget.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"pollenscale/core/departure"
 	"pollenscale/core/exchange"
 	"pollenscale/core/fleet"
 	"pollenscale/internal/mutant"
@@ -53,17 +54,19 @@
 	Stale     Result = "Stale"    // an older incarnation or an older message
 )
 
-// departure records that incarnations of a target have left.
-type departure struct {
-	// born is the start of the latest incarnation that has left or, if that was
-	// not known, the time of the departure. All incarnations that started up to
-	// then have left.
-	born int64
+// Memory is what earlier processes of the daemon knew of the target, as the store and
+// other daemons have kept it.
+type Memory struct {
+	// View is the last known state, zero if only departures were kept.
+	View View
+	// Departures are those that earlier processes may have acknowledged.
+	Departures departure.Set
 }
 
 // Mechanisms that mutation tests switch off one at a time.
 var (
 	rejectDeparted    = mutant.New("localtarget/departures")
+	joinDepartures    = mutant.New("localtarget/join-departures")
 	orderIncarnations = mutant.New("localtarget/order-of-birth")
 	orderHeartbeats   = mutant.New("localtarget/order-of-heartbeats")
 )
@@ -71,10 +74,11 @@
 // State is the state of the target as known to the daemon. It is safe for concurrent
 // use; the zero value knows no target.
 type State struct {
-	mu         sync.Mutex
-	view       View
-	sequence   int64
-	departures map[exchange.TargetID]departure
+	mu       sync.Mutex
+	view     View
+	sequence int64
+	// departures holds incarnations that have left, except for one that drains in view.
+	departures departure.Set
 }
 
 // View returns the current state.
@@ -84,41 +88,78 @@
 	return s.view
 }
 
-// Restore applies the state that an earlier process of the daemon recorded, unless a
-// heartbeat was received before, and reports whether it did. A departure that was
-// received before remains in effect.
-func (s *State) Restore(v View, now time.Time) bool {
+// Departures returns the incarnations that get no more requests, those that drain included.
+func (s *State) Departures() departure.Set {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.view.ID != "" {
-		return false
+	return s.allDepartures()
+}
+
+func (s *State) allDepartures() departure.Set {
+	if s.view.DrainedAt.IsZero() {
+		return s.departures
 	}
-	if s.hasLeft(v.ID, v.Born) {
-		v.State, v.DrainedAt = fleet.Draining, now
+	return s.departures.Add(departure.Departure{Target: s.view.ID, Born: s.view.Born})
+}
+
+// Recall applies what earlier processes knew. Their departures remain in effect, whether
+// they are learned before or after heartbeats. Their target is the current one only until
+// a heartbeat has told which one is.
+func (s *State) Recall(m Memory, now time.Time) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !joinDepartures.Off() {
+		s.departures = s.departures.Join(m.Departures)
+	}
+	adopted := s.view.ID == "" && m.View.ID != ""
+	switch {
+	case adopted:
+		s.view = m.View
+	case !m.View.DrainedAt.IsZero() && !joinDepartures.Off():
+		s.departures = s.departures.Add(departure.Departure{Target: m.View.ID, Born: m.View.Born})
 	}
-	s.view = v
+	changed := s.applyDepartures(now)
+	switch {
+	case adopted:
+		return Replaced
+	case changed:
+		return Changed
+	}
+	return Unchanged
+}
+
+// applyDepartures ends the use of the current incarnation if it has left, and reports
+// whether it was in use before.
+func (s *State) applyDepartures(now time.Time) bool {
+	if !s.view.DrainedAt.IsZero() || !s.hasLeft(s.view.ID, s.view.Born) {
+		return false
+	}
+	s.view.State, s.view.DrainedAt = fleet.Draining, now
 	return true
 }
 
 // hasLeft reports whether an incarnation has left.
 func (s *State) hasLeft(id exchange.TargetID, born int64) bool {
-	d, left := s.departures[id]
-	return left && d.born >= born && !rejectDeparted.Off()
+	return s.departures.Covers(id, born) && !rejectDeparted.Off()
 }
 
-// ApplyHeartbeat applies a heartbeat.
+// ApplyHeartbeat applies a heartbeat. One that reports a drain is never ignored: it is
+// acknowledged also if it arrives late.
 func (s *State) ApplyHeartbeat(h Heartbeat, now time.Time) Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	same := h.ID == s.view.ID && h.Born == s.view.Born
-	if !same && h.Born < s.view.Born && !orderIncarnations.Off() {
-		return Stale
-	}
-	if s.hasLeft(h.ID, h.Born) {
+	if s.isStale(h, same) {
+		if h.Draining {
+			s.departures = s.departures.Add(departure.Departure{Target: h.ID, Born: h.Born})
+		}
+		if s.applyDepartures(now) {
+			return Changed
+		}
 		return Stale
 	}
-	if same && h.Sequence <= s.sequence && !orderHeartbeats.Off() {
-		return Stale
+	if !same {
+		s.departures = s.allDepartures() // a late heartbeat of the previous incarnation may follow
 	}
 	s.sequence = h.Sequence
 	old := s.view
@@ -145,6 +186,18 @@
 	return Unchanged
 }
 
+// isStale reports whether a heartbeat comes from an earlier incarnation or one that has
+// left, or is older than the latest one.
+func (s *State) isStale(h Heartbeat, same bool) bool {
+	switch {
+	case !same && h.Born < s.view.Born && !orderIncarnations.Off():
+		return true
+	case s.hasLeft(h.ID, h.Born):
+		return true
+	}
+	return same && h.Sequence <= s.sequence && !orderHeartbeats.Off()
+}
+
 // Leave records that an incarnation leaves without having announced a drain in a
 // heartbeat. A born of 0 means that its start is not known. Departures of incarnations
 // that the daemon does not know, for example after its restart, are recorded too, since
@@ -152,28 +205,20 @@
 func (s *State) Leave(id exchange.TargetID, born int64, now time.Time) Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.departures == nil || len(s.departures) > maxDepartures {
-		s.departures = make(map[exchange.TargetID]departure)
-	}
 	current := id == s.view.ID && (born == 0 || born == s.view.Born)
 	switch {
 	case current:
-		s.departures[id] = departure{born: s.view.Born}
-	case born != 0:
-		s.departures[id] = departure{born: max(born, s.departures[id].born)}
-	case id != s.view.ID:
-		s.departures[id] = departure{born: now.UnixMilli()}
-	}
-	if !current {
-		return Stale
+		born = s.view.Born
+	case born == 0:
+		born = now.UnixMilli() // all incarnations that have started up to now have left
 	}
-	if !s.view.DrainedAt.IsZero() {
+	s.departures = s.departures.Add(departure.Departure{Target: id, Born: born})
+	changed := s.applyDepartures(now)
+	switch {
+	case changed:
+		return Changed
+	case current:
 		return Unchanged
 	}
-	s.view.DrainedAt = now
-	s.view.State = fleet.Draining
-	return Changed
+	return Stale
 }
-
-// maxDepartures bounds the number of recorded departures.
-const maxDepartures = 64
--- a/core/localtarget/localtarget_test.go
+++ b/core/localtarget/localtarget_test.go
@@ -42,7 +42,8 @@
 				if v.State == fleet.Draining {
 					v.DrainedAt = time.UnixMilli(1)
 				}
-				return strconv.FormatBool(s.Restore(v, time.UnixMilli(1)))
+				result := s.Recall(localtarget.Memory{View: v}, time.UnixMilli(1))
+				return strconv.FormatBool(result == localtarget.Replaced)
 			},
 			"state": func([]string) string {
 				if state := s.View().State; state != "" {
@@ -51,6 +52,9 @@
 				return `""`
 			},
 			"target": func([]string) string { return string(s.View().ID) },
+			"departed": func(a []string) string {
+				return strconv.FormatBool(s.Departures().Covers(exchange.TargetID(a[0]), number(a[1])))
+			},
 		})
 	})
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pollenscale/core/departure"
 	"pollenscale/core/exchange"
 	"pollenscale/core/fleet"
 	"pollenscale/internal/mutant"
@@ -30,6 +31,9 @@
 	// of the target alone, regardless of whether the daemon is stopping.
 	State       fleet.State
 	TargetState fleet.State
+	// Departures holds incarnations of targets that the daemon no longer uses. Those of an
+	// earlier record remain in effect.
+	Departures departure.Set `json:",omitempty"`
 }
 
 // Newer reports whether r replaces o, a record of the same daemon.
@@ -40,10 +44,20 @@
 	return r.Sequence > o.Sequence
 }
 
-// SameTarget reports whether both records, of one process, describe the same incarnation of
-// the target in the same state.
+// SameTarget reports whether r, of the same process as o, describes the same incarnation of
+// the target in the same state and holds all departures in o.
 func (r *Record) SameTarget(o *Record) bool {
-	return r.Daemon == o.Daemon && r.Target == o.Target && r.Born == o.Born && r.TargetState == o.TargetState
+	same := r.Daemon == o.Daemon && r.Target == o.Target && r.Born == o.Born && r.TargetState == o.TargetState
+	return same && r.Departures.Contains(o.Departures)
+}
+
+// AllDepartures returns the departures in the record and that of a target that drains, which
+// daemons of earlier versions do not list.
+func (r *Record) AllDepartures() departure.Set {
+	if r.Target == "" || r.TargetState != fleet.Draining {
+		return r.Departures
+	}
+	return r.Departures.Add(departure.Departure{Target: r.Target, Born: r.Born})
 }
 
 const (
@@ -72,10 +86,6 @@
 	unreachableSince time.Time
 	probeAt          time.Time
 	probeInterval    time.Duration // between probeAt and the probe after it
-	// leftTarget and leftBorn identify the incarnation of the target that has stated
-	// to callers of this daemon that it leaves.
-	leftTarget exchange.TargetID
-	leftBorn   int64
 	// lastSeen is when a message of the daemon last arrived or its record changed.
 	lastSeen time.Time
 	// lastWatching is when the daemon last announced that it watches the store for
@@ -87,6 +97,10 @@
 // it.
 var keepNewest = mutant.New("roster/newer-records")
 
+// keepDepartures makes Merge keep the departures of earlier records. Mutation tests disable
+// it.
+var keepDepartures = mutant.New("roster/keep-departures")
+
 // Roster is the set of known records, created by New.
 type Roster struct {
 	// Now is the clock, time.Now by default.
@@ -114,29 +128,44 @@
 }
 
 // Merge adds a record or replaces an older one, and reports whether it did so.
-// Records of forgotten processes are ignored.
+// Records of forgotten processes are ignored. The departures of both records are kept,
+// whichever is newer: a restarted daemon may not know what it has acknowledged.
 func (r *Roster) Merge(rec Record) bool {
 	if rec.Daemon == "" || rec.PeerAddress == "" {
 		return false
 	}
-	now := r.Now()
 	r.mu.Lock()
+	fresh, changed := r.merge(rec, r.Now())
+	r.mu.Unlock()
+	if changed {
+		r.OnChange()
+	}
+	return fresh
+}
+
+// merge implements Merge, and reports whether the record is newer and whether anything has
+// changed.
+func (r *Roster) merge(rec Record, now time.Time) (fresh, changed bool) {
 	m := r.members[rec.Daemon]
-	fresh := m == nil && rec.Incarnation > r.forgotten[rec.Daemon] || m != nil && rec.Newer(&m.record) || keepNewest.Off()
+	fresh = m == nil && rec.Incarnation > r.forgotten[rec.Daemon] || m != nil && rec.Newer(&m.record) || keepNewest.Off()
+	if m == nil && !fresh {
+		return false, false
+	}
+	if m == nil {
+		m = &member{}
+		r.members[rec.Daemon] = m
+	}
+	known := m.record.AllDepartures()
+	learned := !known.Contains(rec.AllDepartures())
 	if fresh {
 		delete(r.forgotten, rec.Daemon)
-		if m == nil {
-			m = &member{}
-			r.members[rec.Daemon] = m
-		}
 		m.record, m.lastSeen = rec, now
 		m.unreachable = false
 	}
-	r.mu.Unlock()
-	if fresh {
-		r.OnChange()
+	if !keepDepartures.Off() {
+		m.record.Departures = known.Join(rec.AllDepartures())
 	}
-	return fresh
+	return fresh, fresh || learned
 }
 
 // Knows reports whether the known record of a daemon has the given incarnation.
@@ -208,7 +237,7 @@
 	m := r.members[id]
 	marked := m != nil && m.record.Incarnation == i && m.record.Target != "" && !m.targetLeaves()
 	if marked {
-		m.leftTarget, m.leftBorn = m.record.Target, m.record.Born
+		m.record.Departures = m.record.Departures.Add(departure.Departure{Target: m.record.Target, Born: m.record.Born})
 	}
 	r.mu.Unlock()
 	if marked {
@@ -216,9 +245,9 @@
 	}
 }
 
-// targetLeaves reports whether the target in the record has stated that it leaves.
+// targetLeaves reports whether the target in the record has left.
 func (m *member) targetLeaves() bool {
-	return m.leftTarget != "" && m.leftTarget == m.record.Target && m.leftBorn == m.record.Born
+	return m.record.Departures.Covers(m.record.Target, m.record.Born)
 }
 
 // DueProbes returns the announce addresses of the unreachable daemons that are due
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -62,6 +62,37 @@
 	is.Equal(state(), fleet.Serving)
 }
 
+// TestDepartureOverwritten guards against use of a target that has left, after the restarted
+// daemon beside it has published a record that does not know it.
+func TestDepartureOverwritten(t *testing.T) {
+	is := is.New(t)
+	before := roster.Record{
+		Daemon: "d1", Incarnation: 1, Sequence: 2, PeerAddress: "p", Target: "i-1", Born: 5,
+		State: fleet.Draining, TargetState: fleet.Draining,
+	}
+	restarted := roster.Record{Daemon: "d1", Incarnation: 2, PeerAddress: "p"}
+	late := restarted
+	late.Sequence, late.Target, late.Born, late.State, late.TargetState = 1, "i-1", 5, fleet.Serving, fleet.Serving
+	for _, order := range [][]roster.Record{{before, restarted, late}, {restarted, before, late}, {restarted, late, before}} {
+		r := roster.New("own")
+		changes := 0
+		r.OnChange = func() { changes++ }
+		for _, rec := range order {
+			r.Merge(rec)
+		}
+		is.Equal(r.Targets()[0].State, fleet.Draining)
+		is.Equal(changes, len(order)) // the chooser is told of each
+		is.True(!r.Merge(before))
+		is.Equal(changes, len(order))
+		known, _ := r.Record("d1")
+		is.True(known.Departures.Covers("i-1", 5)) // the daemon itself can be told
+		next := late
+		next.Sequence, next.Born = 2, 6
+		is.True(r.Merge(next))
+		is.Equal(r.Targets()[0].State, fleet.Serving)
+	}
+}
+
 // TestUnreachable guards against requests that are sent to an unreachable daemon as
 // probes, and against a daemon that stays excluded although it is back.
 func TestUnreachable(t *testing.T) {
--- a/core/roster/validate.go
+++ b/core/roster/validate.go
@@ -37,7 +37,7 @@
 	case uint64(r.Incarnation) > uint64(now.Add(MaxClockStep).UnixNano()):
 		return errors.Newf("record of incarnation %d, which is in the future", r.Incarnation)
 	}
-	return nil
+	return r.Departures.Validate()
 }
 
 // ValidateAddress returns why the text is not the address of a TCP or UDP port over IPv4,
--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -32,6 +32,13 @@
 	Outage string
 	// Killed is one (the daemon beside the target), half or all.
 	Killed string
+	// OutageAfterwards begins the outage once the departure is acknowledged.
+	OutageAfterwards bool
+	// OlderCopy makes the store come back from a copy of before the departure.
+	OlderCopy bool
+	// LateHeartbeat is when a heartbeat that the target sent before it left arrives at the
+	// restarted daemon: InOutage or Afterwards, empty for never.
+	LateHeartbeat string
 	// RestartedBefore kills the daemon beside the target and starts it in the outage, before
 	// the target leaves.
 	RestartedBefore bool
@@ -118,9 +125,14 @@
 }
 
 func (v *leavingTarget) heartbeat(state string) bool {
+	return v.call("heartbeat", v.heartbeatBody(state))
+}
+
+// heartbeatBody returns the body of the next heartbeat.
+func (v *leavingTarget) heartbeatBody(state string) string {
 	v.seq++
-	return v.call("heartbeat", fmt.Sprintf(`{"address":%q,"born":1000,"info":{"service":"agenda","zone":"scl-a","slots":9},
-		"status":{"state":%q,"seq":%d,"coldRemainingS":0}}`, v.Listener.Addr().String(), state, v.seq))
+	return fmt.Sprintf(`{"address":%q,"born":1000,"info":{"service":"agenda","zone":"scl-a","slots":9},
+		"status":{"state":%q,"seq":%d,"coldRemainingS":0}}`, v.Listener.Addr().String(), state, v.seq)
 }
 
 func (v *leavingTarget) leave(c departureCase) bool {
@@ -131,7 +143,7 @@
 }
 
 // TestAcknowledgedDepartureForgotten guards against requests to a target whose departure was
-// acknowledged in an outage of the store, after daemons that knew of it were killed.
+// acknowledged in or before an outage of the store, after daemons that knew of it were killed.
 func TestAcknowledgedDepartureForgotten(t *testing.T) {
 	var cases []departureCase
 	data, err := os.ReadFile("testdata/departures.json")
@@ -184,7 +196,10 @@
 		within(t, 5*time.Second, "served", func() bool { return serves(p) })
 	}
 	within(t, 2*time.Second, "recorded", func() bool { return strings.Contains(string(rows.Value("members", settings[0].ListenPeers)), "i-1") })
-	rows.SetOutage(c.outage())
+	late, copied := target.heartbeatBody("ready"), rows.Version()
+	if !c.OutageAfterwards {
+		rows.SetOutage(c.outage())
+	}
 	beside := processes[:1]
 	if c.RestartedBefore {
 		kill(beside)
@@ -197,16 +212,27 @@
 	if c.WantAcknowledged {
 		is.True(acknowledged)
 	}
+	if c.OlderCopy {
+		rows.Restore(copied)
+	}
+	rows.SetOutage(c.outage())
 	some := map[string][]*process{"one": beside, "half": processes[:2], "all": processes}[c.Killed]
 	kill(some)
 	for _, p := range some {
 		p.start()
 	}
 	time.Sleep(200 * time.Millisecond)
+	if c.LateHeartbeat == "InOutage" {
+		is.True(target.call("heartbeat", late))
+		time.Sleep(200 * time.Millisecond)
+	}
 	rows.SetOutage(rowstore.Outage{})
 	for _, p := range processes {
 		within(t, 5*time.Second, "ready", p.ready)
 	}
+	if c.LateHeartbeat == "Afterwards" {
+		is.True(target.call("heartbeat", late))
+	}
 	if !acknowledged {
 		is.True(target.leave(c)) // the store is back
 	}
--- a/internal/sidecar/fetch.go
+++ b/internal/sidecar/fetch.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		if record.Daemon == s.id {
-			s.applyPeerRecord(record)
+			s.recallRecord(record, false)
 			continue
 		}
 		if s.roster.Merge(record) {
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if m.From.Daemon == s.id {
-		s.applyPeerRecord(m.From)
+		s.recallRecord(m.From, false)
 		return
 	}
 	if m.Purpose != announce.Relayed {
@@ -70,7 +70,7 @@
 	if m.Purpose == announce.Relayed {
 		return
 	}
-	if known, ok := s.roster.Record(m.From.Daemon); ok && known.Incarnation > m.From.Incarnation {
+	if known, ok := s.roster.Record(m.From.Daemon); ok && outdated(&m.From, &known) {
 		s.announcer.Forward(known, []string{m.From.AnnounceAddress})
 	}
 	if newer && newProcess {
@@ -83,6 +83,12 @@
 	s.noteConfigVersion(m.Version, m.From.PeerAddress)
 }
 
+// outdated reports whether a daemon that has sent a record needs the known one: it comes from
+// a later process, or has departures that the sender does not know after its restart.
+func outdated(sent, known *roster.Record) bool {
+	return known.Incarnation > sent.Incarnation || !sent.AllDepartures().Contains(known.Departures)
+}
+
 func (s *Sidecar) logMember(r roster.Record, source string) {
 	s.log.Info("member: changed.", "daemon", r.Daemon, "incarnation", r.Incarnation, "sequence", r.Sequence,
 		"service", r.Service, "target", r.Target, "state", r.State, "zone", r.Place.AvailabilityZone, "source", source)
@@ -194,7 +200,7 @@
 	}
 	switch {
 	case r.Daemon == s.id:
-		s.raiseIncarnation(r.Incarnation)
+		s.recallRecord(r, true)
 	case s.roster.Forgotten(r):
 		s.removeRow(ctx, row)
 	case s.roster.Merge(r):
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -105,6 +105,7 @@
 		Daemon: s.id, Incarnation: s.incarnation(), Sequence: sequence, PeerAddress: settings.PeerAddress(),
 		AnnounceAddress: settings.AnnounceAddress(), Place: settings.Place, Service: view.Service,
 		Target: view.ID, Born: view.Born, Slots: view.Slots, State: s.ownState(), TargetState: view.State,
+		Departures: s.localTarget.Departures(),
 	}
 }
 
@@ -212,11 +213,7 @@
 		s.log.Warn("member: invalid own row ignored.", "version", row.Version, "error", err)
 		return
 	}
-	s.raiseIncarnation(r.Incarnation)
-	if r.Incarnation < s.incarnation() {
-		s.restarted.Store(true)
-		s.restoreTarget(r, row.Version)
-	}
+	s.recallRecord(r, true)
 }
 
 // incarnation distinguishes this process from earlier and later ones of the daemon.
@@ -241,37 +238,43 @@
 	s.recordChanged()
 }
 
-// restoreTarget restores the state of the target that an earlier process recorded.
-func (s *Sidecar) restoreTarget(r roster.Record, version store.Version) {
-	if r.Target == "" {
-		return
+// recallRecord applies a record of this daemon, which an earlier process has left in the
+// store or with another daemon. The departures in it remain in effect, whatever this process
+// has heard before. The target in it is taken over only from the store.
+func (s *Sidecar) recallRecord(r roster.Record, stored bool) {
+	s.raiseIncarnation(r.Incarnation)
+	var m localtarget.Memory
+	if !restoreDrain.Off() {
+		m.Departures = r.AllDepartures()
 	}
-	view := localtarget.View{
-		ID: r.Target, Service: r.Service, Address: s.settings.Load().Target, Born: r.Born, Slots: r.Slots, State: r.TargetState,
+	if stored && r.Incarnation < s.incarnation() {
+		s.restarted.Store(true)
+		m.View = s.recordedView(r)
 	}
-	if r.TargetState == fleet.Draining && !restoreDrain.Off() {
-		view.DrainedAt = s.now()
+	known := s.localTarget.Departures()
+	result := s.localTarget.Recall(m, s.now())
+	if result == localtarget.Unchanged && known.Contains(m.Departures) {
+		return
 	}
-	if !s.localTarget.Restore(view, s.now()) {
+	s.log.Info("target: state recalled.", "target", r.Target, "born", r.Born, "state", s.localTarget.View().State,
+		"departures", len(m.Departures), "incarnation", r.Incarnation, "stored", stored, "verdict", result)
+	if result != localtarget.Replaced {
+		s.recordChanged()
 		return
 	}
 	s.limit.SetSlots(r.Slots)
 	s.limit.ResetWarm()
 	s.publisher.mu.Lock()
-	s.publisher.sequence++
+	s.publisher.sequence++ // the record is written next
 	s.publisher.mu.Unlock()
-	s.log.Info("target: state restored.", "target", r.Target, "state", s.localTarget.View().State, "version", version)
 }
 
-// applyPeerRecord applies a record of an earlier process that another daemon still has:
-// its incarnation, and a drain that it acknowledged.
-func (s *Sidecar) applyPeerRecord(r roster.Record) {
-	s.raiseIncarnation(r.Incarnation)
-	if r.Incarnation == s.incarnation() || r.TargetState != fleet.Draining || r.Target == "" {
-		return
+// recordedView returns the state of the target in a record of an earlier process.
+func (s *Sidecar) recordedView(r roster.Record) localtarget.View {
+	if r.Target == "" {
+		return localtarget.View{}
 	}
-	if result := s.localTarget.Leave(r.Target, r.Born, s.now()); result == localtarget.Changed {
-		s.log.Warn("target: drain recalled.", "target", r.Target, "born", r.Born, "incarnation", r.Incarnation)
-		s.recordChanged()
+	return localtarget.View{
+		ID: r.Target, Service: r.Service, Address: s.settings.Load().Target, Born: r.Born, Slots: r.Slots, State: r.TargetState,
 	}
 }
