localtarget: a restarted daemon confirms its target while the store is away

What callers saw: a target had drained, which was acknowledged. In an outage of the store all daemons were killed, a late heartbeat arrived, and requests reached the target until the store was back (TestAcknowledgedDepartureForgotten, once it looked at requests during the outage).

Cause: a restarted daemon took any heartbeat for news, although it did not know yet what earlier processes had acknowledged.

Change: until the store has answered a process, an incarnation is used only after a second heartbeat, at least a second after the first. A drain needs no confirmation, and the heartbeat that waited is applied once the store answers. A target that has deregistered sends no second one, which is why this holds although nobody knows of the departure.

Measured: the case "drains before an outage, a late heartbeat in it, all daemons are killed" fails with localtarget/await-memory off and passes.

--- a/core/localtarget/localtarget.go
+++ b/core/localtarget/localtarget.go
@@ -52,8 +52,30 @@
 	Replaced  Result = "Replaced" // a new incarnation replaced the previous one
 	Changed   Result = "Changed"  // the state of the incarnation changed
 	Stale     Result = "Stale"    // an older incarnation or an older message
+	// Unconfirmed means that the incarnation may have left, which earlier processes would know.
+	Unconfirmed Result = "Unconfirmed"
 )
 
+// confirmationDelay is the least time between two heartbeats that confirm an incarnation.
+// Heartbeats that were delayed by a partition arrive together.
+const confirmationDelay = time.Second
+
+// candidate is an incarnation that is not used until a later heartbeat confirms it.
+type candidate struct {
+	heartbeat Heartbeat
+	// confirmAt is when a heartbeat confirms it at the earliest.
+	confirmAt time.Time
+}
+
+// confirmedBy reports whether a heartbeat shows that the incarnation still runs.
+func (c *candidate) confirmedBy(h Heartbeat, now time.Time) bool {
+	return c.isSame(h) && h.Sequence > c.heartbeat.Sequence && !now.Before(c.confirmAt)
+}
+
+func (c *candidate) isSame(h Heartbeat) bool {
+	return c.heartbeat.ID == h.ID && c.heartbeat.Born == h.Born
+}
+
 // Memory is what earlier processes of the daemon knew of the target, as the store and
 // other daemons have kept it.
 type Memory struct {
@@ -67,6 +89,7 @@
 var (
 	rejectDeparted    = mutant.New("localtarget/departures")
 	joinDepartures    = mutant.New("localtarget/join-departures")
+	awaitMemory       = mutant.New("localtarget/await-memory")
 	orderIncarnations = mutant.New("localtarget/order-of-birth")
 	orderHeartbeats   = mutant.New("localtarget/order-of-heartbeats")
 )
@@ -79,6 +102,30 @@
 	sequence int64
 	// departures holds incarnations that have left, except for one that drains in view.
 	departures departure.Set
+	// awaiting is set until it is known what earlier processes have stored.
+	awaiting  bool
+	candidate candidate
+}
+
+// AwaitMemory makes heartbeats wait for MemoryKnown: the target may have left, and its last
+// heartbeats may arrive late. An incarnation that goes on sending heartbeats does not wait.
+func (s *State) AwaitMemory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.awaiting = !awaitMemory.Off()
+}
+
+// MemoryKnown ends the wait, after Recall has been called with all that is stored, and
+// applies the heartbeat that has waited.
+func (s *State) MemoryKnown(now time.Time) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waited := s.awaiting && s.candidate.heartbeat.ID != ""
+	s.awaiting = false
+	if !waited {
+		return Unchanged
+	}
+	return s.applyHeartbeat(s.candidate.heartbeat, now)
 }
 
 // View returns the current state.
@@ -148,6 +195,10 @@
 func (s *State) ApplyHeartbeat(h Heartbeat, now time.Time) Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.applyHeartbeat(h, now)
+}
+
+func (s *State) applyHeartbeat(h Heartbeat, now time.Time) Result {
 	same := h.ID == s.view.ID && h.Born == s.view.Born
 	if s.isStale(h, same) {
 		if h.Draining {
@@ -158,6 +209,9 @@
 		}
 		return Stale
 	}
+	if !same && !s.mayReplace(h, now) {
+		return Unconfirmed
+	}
 	if !same {
 		s.departures = s.allDepartures() // a late heartbeat of the previous incarnation may follow
 	}
@@ -186,6 +240,20 @@
 	return Unchanged
 }
 
+// mayReplace reports whether the incarnation in a heartbeat may become the current one. While
+// the memory is awaited, it may if an earlier heartbeat of it is confirmed. Incarnations that
+// start after that have nothing that an earlier process could know.
+func (s *State) mayReplace(h Heartbeat, now time.Time) bool {
+	if s.awaiting && !h.Draining && !s.candidate.confirmedBy(h, now) {
+		if !s.candidate.isSame(h) {
+			s.candidate = candidate{heartbeat: h, confirmAt: now.Add(confirmationDelay)}
+		}
+		return false
+	}
+	s.awaiting = false
+	return true
+}
+
 // isStale reports whether a heartbeat comes from an earlier incarnation or one that has
 // left, or is older than the latest one.
 func (s *State) isStale(h Heartbeat, same bool) bool {
--- a/core/localtarget/localtarget_test.go
+++ b/core/localtarget/localtarget_test.go
@@ -52,6 +52,11 @@
 				return `""`
 			},
 			"target": func([]string) string { return string(s.View().ID) },
+			"await": func([]string) string {
+				s.AwaitMemory()
+				return ""
+			},
+			"known": func(a []string) string { return string(s.MemoryKnown(at(a[1]))) },
 			"departed": func(a []string) string {
 				return strconv.FormatBool(s.Departures().Covers(exchange.TargetID(a[0]), number(a[1])))
 			},
--- a/internal/sidecar/coldlimit.go
+++ b/internal/sidecar/coldlimit.go
@@ -57,7 +57,7 @@
 
 // observeColdHeartbeat evaluates what a heartbeat states about coldness.
 func (s *Sidecar) observeColdHeartbeat(until time.Time, result localtarget.Result, now time.Time) {
-	if result == localtarget.Stale {
+	if result == localtarget.Stale || result == localtarget.Unconfirmed {
 		return
 	}
 	if result == localtarget.Replaced {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -99,7 +99,7 @@
 	}
 	s.log.Info("target: heartbeat.", "target", h.ID, "service", h.Service, "address", h.Address, "born", h.Born,
 		"sequence", h.Sequence, "draining", h.Draining, "slots", h.Slots, "verdict", result)
-	if result == localtarget.Stale {
+	if result == localtarget.Stale || result == localtarget.Unconfirmed {
 		return
 	}
 	s.targetChanged(result == localtarget.Replaced)
--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -223,8 +223,14 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	if c.LateHeartbeat == "InOutage" {
+		before := target.runs.Load()
 		is.True(target.call("heartbeat", late))
-		time.Sleep(200 * time.Millisecond)
+		for range 20 {
+			for _, p := range processes {
+				is.True(!serves(p))
+			}
+		}
+		is.Equal(target.runs.Load(), before)
 	}
 	rows.SetOutage(rowstore.Outage{})
 	for _, p := range processes {
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -129,7 +129,24 @@
 // writeRecord writes the current record and reports whether the store has it. After a
 // conflict, which returns the version to be replaced, it tries again immediately.
 func (s *Sidecar) writeRecord(ctx context.Context) bool {
-	return s.tryWriteRecord(ctx) || ctx.Err() == nil && !s.meters.store.down.Load() && s.tryWriteRecord(ctx)
+	written := s.tryWriteRecord(ctx) || ctx.Err() == nil && !s.meters.store.down.Load() && s.tryWriteRecord(ctx)
+	if written {
+		s.memoryKnown()
+	}
+	return written
+}
+
+// memoryKnown applies a heartbeat that has waited for the row of an earlier process. A write
+// that the store accepts replaces nothing unread, so that the row is known by then.
+func (s *Sidecar) memoryKnown() {
+	result := s.localTarget.MemoryKnown(s.now())
+	if result != localtarget.Replaced && result != localtarget.Changed {
+		return
+	}
+	view := s.localTarget.View()
+	s.log.Info("target: heartbeat confirmed.", "target", view.ID, "born", view.Born, "verdict", result)
+	s.observeColdHeartbeat(view.ColdUntil, result, s.now())
+	s.targetChanged(result == localtarget.Replaced)
 }
 
 func (s *Sidecar) tryWriteRecord(ctx context.Context) bool {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -165,6 +165,7 @@
 		return errors.CombineErrors(err, closeListeners(servers))
 	}
 	s.setAnnouncer(announcer)
+	s.localTarget.AwaitMemory()
 
 	var group run.Group
 	add := func(f func(context.Context) error) {
