localtarget: a start time that has gone back does not hide a drain

Cause: the start time orders the incarnations of a target. All heartbeats of the last one were taken for late ones of an earlier one, for as long as it lived, and the drain in them was acknowledged although nothing was recorded.

Change: an incarnation with an earlier start replaces one that has been silent for 4 s. A departure is acknowledged only if no incarnation with its ID is in use. The departure of an incarnation that has replaced one with a later start covers both. While the latest one sends heartbeats nothing changes, and a wrong replacement ends with its next heartbeat.

--- a/core/localtarget/localtarget.go
+++ b/core/localtarget/localtarget.go
@@ -56,26 +56,6 @@
 	Unconfirmed Result = "Unconfirmed"
 )
 
-// confirmationDelay is the least time between two heartbeats that confirm an incarnation.
-// Heartbeats that were delayed by a partition arrive together.
-const confirmationDelay = time.Second
-
-// candidate is an incarnation that is not used until a later heartbeat confirms it.
-type candidate struct {
-	heartbeat Heartbeat
-	// confirmAt is when a heartbeat confirms it at the earliest.
-	confirmAt time.Time
-}
-
-// confirmedBy reports whether a heartbeat shows that the incarnation still runs.
-func (c *candidate) confirmedBy(h Heartbeat, now time.Time) bool {
-	return c.isSame(h) && h.Sequence > c.heartbeat.Sequence && !now.Before(c.confirmAt)
-}
-
-func (c *candidate) isSame(h Heartbeat) bool {
-	return c.heartbeat.ID == h.ID && c.heartbeat.Born == h.Born
-}
-
 // Memory is what earlier processes of the daemon knew of the target, as the store and
 // other daemons have kept it.
 type Memory struct {
@@ -91,15 +71,26 @@
 	joinDepartures    = mutant.New("localtarget/join-departures")
 	awaitMemory       = mutant.New("localtarget/await-memory")
 	orderIncarnations = mutant.New("localtarget/order-of-birth")
+	outliveClockSteps = mutant.New("localtarget/outlive-clock-steps")
 	orderHeartbeats   = mutant.New("localtarget/order-of-heartbeats")
 )
 
+// silenceLimit is the time without a heartbeat of the current incarnation after which one with
+// an earlier start is taken for the later one: the time of day has stepped back between their
+// starts. Targets send heartbeats every 1.5 s.
+const silenceLimit = 4 * time.Second
+
 // State is the state of the target as known to the daemon. It is safe for concurrent
 // use; the zero value knows no target.
 type State struct {
 	mu       sync.Mutex
 	view     View
 	sequence int64
+	// silentAt is when the current incarnation counts as silent, unless it sends a heartbeat.
+	silentAt time.Time
+	// superseded is the incarnation with a later start that the current one has replaced after
+	// its silence, zero if there is none.
+	superseded departure.Departure
 	// departures holds incarnations that have left, except for one that drains in view.
 	departures departure.Set
 	// awaiting is set until it is known what earlier processes have stored.
@@ -107,27 +98,6 @@
 	candidate candidate
 }
 
-// AwaitMemory makes heartbeats wait for MemoryKnown: the target may have left, and its last
-// heartbeats may arrive late. An incarnation that goes on sending heartbeats does not wait.
-func (s *State) AwaitMemory() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.awaiting = !awaitMemory.Off()
-}
-
-// MemoryKnown ends the wait, after Recall has been called with all that is stored, and
-// applies the heartbeat that has waited.
-func (s *State) MemoryKnown(now time.Time) Result {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	waited := s.awaiting && s.candidate.heartbeat.ID != ""
-	s.awaiting = false
-	if !waited {
-		return Unchanged
-	}
-	return s.applyHeartbeat(s.candidate.heartbeat, now)
-}
-
 // View returns the current state.
 func (s *State) View() View {
 	s.mu.Lock()
@@ -135,18 +105,12 @@
 	return s.view
 }
 
-// Departures returns the incarnations that get no more requests, those that drain included.
-func (s *State) Departures() departure.Set {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.allDepartures()
-}
-
-func (s *State) allDepartures() departure.Set {
-	if s.view.DrainedAt.IsZero() {
-		return s.departures
+// supersede records that the incarnation in a heartbeat replaces one with a later start.
+func (s *State) supersede(h Heartbeat) {
+	s.superseded = departure.Departure{}
+	if h.Born < s.view.Born {
+		s.superseded = departure.Departure{Target: s.view.ID, Born: s.view.Born}
 	}
-	return s.departures.Add(departure.Departure{Target: s.view.ID, Born: s.view.Born})
 }
 
 // Recall applies what earlier processes knew. Their departures remain in effect, whether
@@ -161,7 +125,7 @@
 	adopted := s.view.ID == "" && m.View.ID != ""
 	switch {
 	case adopted:
-		s.view = m.View
+		s.view, s.silentAt = m.View, now.Add(silenceLimit)
 	case !m.View.DrainedAt.IsZero() && !joinDepartures.Off():
 		s.departures = s.departures.Add(departure.Departure{Target: m.View.ID, Born: m.View.Born})
 	}
@@ -175,21 +139,6 @@
 	return Unchanged
 }
 
-// applyDepartures ends the use of the current incarnation if it has left, and reports
-// whether it was in use before.
-func (s *State) applyDepartures(now time.Time) bool {
-	if !s.view.DrainedAt.IsZero() || !s.hasLeft(s.view.ID, s.view.Born) {
-		return false
-	}
-	s.view.State, s.view.DrainedAt = fleet.Draining, now
-	return true
-}
-
-// hasLeft reports whether an incarnation has left.
-func (s *State) hasLeft(id exchange.TargetID, born int64) bool {
-	return s.departures.Covers(id, born) && !rejectDeparted.Off()
-}
-
 // ApplyHeartbeat applies a heartbeat. One that reports a drain is never ignored: it is
 // acknowledged also if it arrives late.
 func (s *State) ApplyHeartbeat(h Heartbeat, now time.Time) Result {
@@ -200,11 +149,8 @@
 
 func (s *State) applyHeartbeat(h Heartbeat, now time.Time) Result {
 	same := h.ID == s.view.ID && h.Born == s.view.Born
-	if s.isStale(h, same) {
-		if h.Draining {
-			s.departures = s.departures.Add(departure.Departure{Target: h.ID, Born: h.Born})
-		}
-		if s.applyDepartures(now) {
+	if s.isStale(h, same, now) {
+		if h.Draining && s.depart(h.ID, h.Born, now) {
 			return Changed
 		}
 		return Stale
@@ -214,8 +160,9 @@
 	}
 	if !same {
 		s.departures = s.allDepartures() // a late heartbeat of the previous incarnation may follow
+		s.supersede(h)
 	}
-	s.sequence = h.Sequence
+	s.sequence, s.silentAt = h.Sequence, now.Add(silenceLimit)
 	old := s.view
 	drained := time.Time{}
 	if same {
@@ -240,53 +187,25 @@
 	return Unchanged
 }
 
-// mayReplace reports whether the incarnation in a heartbeat may become the current one. While
-// the memory is awaited, it may if an earlier heartbeat of it is confirmed. Incarnations that
-// start after that have nothing that an earlier process could know.
-func (s *State) mayReplace(h Heartbeat, now time.Time) bool {
-	if s.awaiting && !h.Draining && !s.candidate.confirmedBy(h, now) {
-		if !s.candidate.isSame(h) {
-			s.candidate = candidate{heartbeat: h, confirmAt: now.Add(confirmationDelay)}
-		}
-		return false
-	}
-	s.awaiting = false
-	return true
-}
-
 // isStale reports whether a heartbeat comes from an earlier incarnation or one that has
 // left, or is older than the latest one.
-func (s *State) isStale(h Heartbeat, same bool) bool {
+func (s *State) isStale(h Heartbeat, same bool, now time.Time) bool {
 	switch {
-	case !same && h.Born < s.view.Born && !orderIncarnations.Off():
+	case !same && s.isEarlier(h.Born, now):
 		return true
 	case s.hasLeft(h.ID, h.Born):
 		return true
+	case !same && !s.view.DrainedAt.IsZero() && s.currentDeparture() == (departure.Departure{Target: h.ID, Born: h.Born}):
+		return true // superseded by the incarnation that drains
 	}
 	return same && h.Sequence <= s.sequence && !orderHeartbeats.Off()
 }
 
-// Leave records that an incarnation leaves without having announced a drain in a
-// heartbeat. A born of 0 means that its start is not known. Departures of incarnations
-// that the daemon does not know, for example after its restart, are recorded too, since
-// an earlier heartbeat may still arrive.
-func (s *State) Leave(id exchange.TargetID, born int64, now time.Time) Result {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := id == s.view.ID && (born == 0 || born == s.view.Born)
-	switch {
-	case current:
-		born = s.view.Born
-	case born == 0:
-		born = now.UnixMilli() // all incarnations that have started up to now have left
-	}
-	s.departures = s.departures.Add(departure.Departure{Target: id, Born: born})
-	changed := s.applyDepartures(now)
-	switch {
-	case changed:
-		return Changed
-	case current:
-		return Unchanged
+// isEarlier reports whether an incarnation that started at the given time precedes the current
+// one.
+func (s *State) isEarlier(born int64, now time.Time) bool {
+	if born >= s.view.Born || orderIncarnations.Off() {
+		return false
 	}
-	return Stale
+	return now.Before(s.silentAt) || outliveClockSteps.Off()
 }
--- a/core/localtarget/localtarget_test.go
+++ b/core/localtarget/localtarget_test.go
@@ -52,6 +52,7 @@
 				return `""`
 			},
 			"target": func([]string) string { return string(s.View().ID) },
+			"inuse":  func(a []string) string { return strconv.FormatBool(s.InUse(exchange.TargetID(a[0]))) },
 			"await": func([]string) string {
 				s.AwaitMemory()
 				return ""
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pollenscale/core/exchange"
 	"pollenscale/core/fleet"
 	"pollenscale/core/localtarget"
 	"pollenscale/core/wait"
@@ -21,8 +22,11 @@
 	recordWriteTimeout = 800 * time.Millisecond
 )
 
-// errNotRecorded is the error of a departure that the store does not have.
-var errNotRecorded = errors.New("the store does not have the departure yet")
+// Errors of departures that are not acknowledged.
+var (
+	errNotRecorded = errors.New("the store does not have the departure yet")
+	errLaterInUse  = errors.New("a target with this ID and a later start is in use")
+)
 
 // serveControl serves the calls that the target makes to the daemon beside it.
 func (s *Sidecar) serveControl(w http.ResponseWriter, r *http.Request) {
@@ -66,15 +70,23 @@
 func (s *Sidecar) applyTargetCall(ctx context.Context, call TargetCall, now time.Time) error {
 	if call.Heartbeat == nil {
 		s.applyLeave(call, now)
-		return s.awaitRecorded(ctx)
+		return s.awaitDeparted(ctx, call.target())
 	}
 	s.applyHeartbeat(call.Heartbeat, now)
 	if call.Heartbeat.Draining {
-		return s.awaitRecorded(ctx)
+		return s.awaitDeparted(ctx, call.target())
 	}
 	return nil
 }
 
+// awaitDeparted returns nil once the departure of a target may be acknowledged.
+func (s *Sidecar) awaitDeparted(ctx context.Context, id exchange.TargetID) error {
+	if s.localTarget.InUse(id) {
+		return errLaterInUse
+	}
+	return s.awaitRecorded(ctx)
+}
+
 // awaitRecorded waits until the store has the departure of the target, at most
 // recordWriteTimeout. All processes can end at the same moment, so that nothing else makes
 // an acknowledgement binding for those that come after them.
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -81,6 +81,25 @@
 	is.NoErr(err)
 }
 
+// TestDrainIgnoredAfterClockStep guards against a drain that is acknowledged and has no effect,
+// since the start time of the target has gone back with the time of day.
+func TestDrainIgnoredAfterClockStep(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{ListenPeers: "127.0.0.1:1"}, Protocol{})
+	now := time.Now()
+	call := func(born, sequence int64, draining bool, at time.Time) error {
+		return s.applyTargetCall(t.Context(), TargetCall{Heartbeat: &localtarget.Heartbeat{
+			ID: "i-1", Service: "agenda", Born: born, Sequence: sequence, Draining: draining, Slots: 9,
+		}}, at)
+	}
+	is.NoErr(call(5000, 3, false, now))
+	is.Equal(call(3000, 1, true, now.Add(time.Second)), errLaterInUse) // not acknowledged
+	is.True(s.localTarget.View().State.TakesWork())
+	is.Equal(call(3000, 2, true, now.Add(6*time.Second)), errNotRecorded) // until the store has it
+	is.True(!s.localTarget.View().State.TakesWork())
+	is.True(s.ownRecord().Departures.Covers("i-1", 5000))
+}
+
 // TestRemoveRow guards against rows of replaced VMs that are never removed from the
 // store, and against the removal of a row that has changed.
 func TestRemoveRow(t *testing.T) {
