sidecar: a daemon that starts learns the marks of requests that crash targets

Cause: the marks were in the memory of each daemon, and one that started was told those of later crashes only.

Change: a daemon that knows the service of its target and other daemons of it asks the three that have run for longest for their marks, until one answers. These are the daemons that have received the reports which the new one missed.

Three small calls for a start.

--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -83,9 +83,7 @@
 
 // sendCrashReport sends a report to the daemons of the same service.
 func (s *Sidecar) sendCrashReport(ctx context.Context, r poison.Report) {
-	body, err := json.Marshal(crashReport{
-		Daemon: r.Daemon, Suspects: r.Suspects, Condemned: r.Condemned, Cleared: r.Cleared, ForgetAfter: r.ForgetAt.Sub(s.now()),
-	})
+	body, err := json.Marshal(s.encodeReport(r))
 	if err != nil {
 		s.log.Error("target: encoding the crash report failed.", "error", err)
 		return
@@ -118,10 +116,7 @@
 		http.Error(w, "crash report cannot be read", http.StatusBadRequest)
 		return
 	}
-	s.poison.Apply(poison.Report{
-		Daemon: report.Daemon, Suspects: report.Suspects, Condemned: report.Condemned, Cleared: report.Cleared,
-		ForgetAt: s.now().Add(report.ForgetAfter),
-	})
+	s.poison.Apply(s.decodeReport(&report))
 	s.log.Info("target: crash reported.", "daemon", report.Daemon, "suspects", report.Suspects,
 		"condemned", report.Condemned, "cleared", report.Cleared)
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/sidecar/crashes_test.go
+++ b/internal/sidecar/crashes_test.go
@@ -116,6 +116,38 @@
 	is.Equal(target.runs.Load(), int64(2))
 }
 
+// TestMarksForgottenAfterRestart guards against a restarted daemon that runs requests which have
+// crashed the targets of others.
+func TestMarksForgottenAfterRestart(t *testing.T) {
+	is := is.New(t)
+	target := startCrashingTarget(t)
+	other := newTestSidecar(target.address, "127.0.0.1:2")
+	sibling := httptest.NewServer(http.HandlerFunc(other.servePeer))
+	defer sibling.Close()
+	for range 2 {
+		is.Equal(other.runPath(t.Context(), "/poison/1").err.Outcome, outcome.Unknown)
+		target.start(t)
+	}
+	restarted := newTestSidecar(target.address, "127.0.0.1:1")
+	restarted.requestMarks()
+	is.Equal(len(restarted.fetchRequests), 0) // no other daemon is known yet
+	gone := roster.Record{Daemon: "127.0.0.1:3", Incarnation: 1, PeerAddress: "127.0.0.1:1", Service: "agenda", State: fleet.Serving}
+	known := roster.Record{
+		Daemon: "127.0.0.1:2", Incarnation: 2, PeerAddress: sibling.Listener.Addr().String(), Service: "agenda", State: fleet.Serving,
+	}
+	restarted.roster.Merge(gone)
+	restarted.roster.Merge(known)
+	restarted.requestMarks()
+	is.True(restarted.fetch(t.Context(), <-restarted.fetchRequests) != nil) // one of them cannot be reached
+	result := restarted.runPath(t.Context(), "/poison/1")
+	is.Equal(result.err.Outcome, outcome.NotRun)
+	is.Equal(result.err.Reason, outcome.Poison)
+	is.True(restarted.runPath(t.Context(), "/other").err == nil)
+	restarted.requestMarks()
+	is.Equal(len(restarted.fetchRequests), 0) // they are known now
+	is.Equal(target.runs.Load(), int64(2))
+}
+
 // TestLostResponseIsNoCrash guards against requests that count as poison because their
 // responses were lost, although the target still accepts connections.
 func TestLostResponseIsNoCrash(t *testing.T) {
--- a/internal/sidecar/fetch.go
+++ b/internal/sidecar/fetch.go
@@ -58,11 +58,12 @@
 }
 
 // fetchRequest asks for newer state of another daemon: its configuration or, if records
-// is set, its records too.
+// is set, its records too. If marks is set, it asks some daemons for their marks.
 type fetchRequest struct {
 	address string
 	version route.Version
 	records bool
+	marks   bool
 }
 
 // requestFetch queues a request for runFetches. The request is dropped if the queue is
@@ -90,6 +91,8 @@
 
 func (s *Sidecar) fetch(ctx context.Context, req fetchRequest) error {
 	switch {
+	case req.marks:
+		return s.fetchMarks(ctx)
 	case req.records:
 		return s.fetchSnapshot(ctx, req.address)
 	case req.version > s.config.Version():
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -60,6 +60,7 @@
 	callSnapshot = "Snapshot" // all records and the configuration
 	callConfig   = "Config"   // the configuration as the operator published it
 	callCrash    = "Crash"    // a crash report
+	callMarks    = "Marks"    // the marks of requests that crash targets
 )
 
 // attemptParams are the parameters of an attempt, which the entry decides.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -115,6 +115,7 @@
 	}
 	s.joined.Store(true)
 	s.wakeQuotas()
+	s.requestMarks()
 	s.announceRecord()
 	next, era := s.now().Add(jittered(reconcileInterval)), s.storeEra.value()
 	for round := 0; wait.For(ctx, jittered(announceInterval)); round++ {
@@ -137,6 +138,7 @@
 // announceRound sends the own record to some daemons of the own zone and a few of the
 // others, in rotation.
 func (s *Sidecar) announceRound(round int) {
+	s.requestMarks()
 	place := s.settings.Load().Place
 	near := s.roster.AddressesInZone(place)
 	if s.watching.Load() {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -32,6 +32,9 @@
 	case callCrash:
 		s.serveCrashReport(w, r)
 		return
+	case callMarks:
+		s.serveMarks(w)
+		return
 	case callQuotaStore:
 		s.serveQuotaStore(w, r)
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -61,6 +61,7 @@
 
 	localTarget localtarget.State
 	poison      *poison.List
+	marksOf     atomic.Pointer[fleet.Service] // whose marks of requests that crash targets are known
 	limit       *limit.Limit
 	queue       *admit.Queue
 	targetPool  atomic.Pointer[http1.Pool]
