soak: a target deregisters, its daemon is killed and gets a late heartbeat

Change: the fault LeaveWhileKilled, which each seed plays: the target deregisters, its daemon is killed and cannot reach the store when it starts, and the last heartbeat arrives late. The target does not state that it leaves.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -39,6 +39,7 @@
 	restoreStore     fault = "RestoreStore"
 	limitTarget      fault = "LimitTarget"
 	leaveUnannounced fault = "LeaveUnannounced"
+	leaveWhileKilled fault = "LeaveWhileKilled"
 	endlessResponses fault = "EndlessResponses"
 	stalledBody      fault = "StalledBody"
 	earlyAnswer      fault = "EarlyAnswer"
@@ -56,14 +57,14 @@
 var faults = []fault{
 	terminate, kill, freeze, reconfigure, storeBusy, storeSilent, drainTarget, crashTarget, loseResponses, delayLink,
 	resetLinks, cutInward, cutOutward, silenceLinks, cutStoreOutward, restoreStore, limitTarget, leaveUnannounced,
-	endlessResponses, stalledBody, earlyAnswer,
+	leaveWhileKilled, endlessResponses, stalledBody, earlyAnswer,
 	removeKey, removeKeyUnheard, removeKeyCutOff, removeKeyFrozen,
 	evacuate, startCold, turnCold, untrustedClients,
 }
 
 // always are faults that each seed plays besides those that it picks, since their checks need a
 // few seconds each.
-var always = []fault{evacuate, turnCold, removeKeyUnheard, removeKeyCutOff, removeKeyFrozen, untrustedClients}
+var always = []fault{evacuate, turnCold, removeKeyUnheard, removeKeyCutOff, removeKeyFrozen, untrustedClients, leaveWhileKilled}
 
 // disturb injects faults in series; some last and overlap with the next ones.
 func (s *site) disturb(rng *rand.Rand) {
@@ -122,6 +123,8 @@
 		})
 	case leaveUnannounced: // its announcements are late, only its responses state that it leaves
 		return v.replaceTarget(0, func() { v.target.leaveUnannounced() })
+	case leaveWhileKilled:
+		return v.replaceTarget(0, func() { v.target.leaveWhileKilled(length) })
 	case loseResponses:
 		v.target.loseResponses(length)
 	case limitTarget:
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"pollenscale/platform/rowstore"
@@ -192,6 +193,32 @@
 	t.stop()
 }
 
+// leaveWhileKilled deregisters the target without a drain. Then its daemon is killed, and its
+// last heartbeat arrives late at the next one, which cannot reach the store.
+func (t *appTarget) leaveWhileKilled(lateness time.Duration) {
+	t.cancel()
+	late := t.beatBody()
+	for range 20 {
+		if t.call("instances.deregister", fmt.Appendf(nil, `{"born":%d}`, t.born)) {
+			t.mu.Lock()
+			t.ackedAt = time.Now()
+			t.mu.Unlock()
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.vm.store.cut[outward].Store(true)
+	if err := t.vm.restart(syscall.SIGKILL); err != nil {
+		t.vm.site.ledger.violate("the harness failed: %v", err)
+	}
+	time.Sleep(lateness)
+	t.call("instances.heartbeat", late)
+	time.Sleep(lateness)
+	t.vm.store.cut[outward].Store(false)
+	time.Sleep(2*drain + 300*time.Millisecond)
+	t.stop()
+}
+
 func (t *appTarget) beat(ctx context.Context) error {
 	for ctx.Err() == nil {
 		t.mu.Lock()
@@ -206,7 +233,10 @@
 	return nil
 }
 
-func (t *appTarget) sendBeat() bool {
+func (t *appTarget) sendBeat() bool { return t.call("instances.heartbeat", t.beatBody()) }
+
+// beatBody returns the body of the next heartbeat.
+func (t *appTarget) beatBody() []byte {
 	t.mu.Lock()
 	t.sequence++
 	state := "ready"
@@ -222,7 +252,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return t.call("instances.heartbeat", body)
+	return body
 }
 
 func (t *appTarget) call(name string, body []byte) bool {
