review: case 12, a request inside a body is run

Cause: the daemon looks for the requests of a connection itself, by CR LF CR LF, while net/http also takes a line feed alone as the end of a line; after a head with such lines it takes the body of the next request for a request and starts it.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -20,6 +20,7 @@
 // scenarios are the cases by name. Each reports whether the rule was broken.
 var scenarios = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"pipeline": playPipeline,
+	"smuggle":  playSmuggle,
 }
 
 func main() { os.Exit(run(os.Args)) }
--- a/review/rig-3/pipeline.go
+++ b/review/rig-3/pipeline.go
@@ -77,6 +77,20 @@
 
 // dialPipeline connects a client on the VM to the daemon there.
 func dialPipeline(v *vm, number int) (*pipelineClient, error) {
+	conn, err := dialCaller(v)
+	if err != nil {
+		return nil, err
+	}
+	c := &pipelineClient{conn: conn}
+	for i := range pipelineDepth {
+		c.ids = append(c.ids, fmt.Sprintf("%04x%04x", number+1, i+1))
+	}
+	return c, nil
+}
+
+// dialCaller connects to the daemon on the VM. The client has an address of its own, so that its
+// requests are not taken for calls of the target.
+func dialCaller(v *vm) (*net.TCPConn, error) {
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(v.fleet.prefix + ".240")}}
 	nc, err := dialer.Dial("tcp4", v.address(portCallers))
 	if err != nil {
@@ -86,19 +100,14 @@
 	if !ok {
 		return nil, errors.New("not a TCP connection")
 	}
-	c := &pipelineClient{conn: conn}
-	for i := range pipelineDepth {
-		c.ids = append(c.ids, fmt.Sprintf("%04x%04x", number+1, i+1))
-	}
-	return c, nil
+	return conn, nil
 }
 
 // send sends all requests.
 func (c *pipelineClient) send(rec *record) error {
 	var b strings.Builder
 	for _, id := range c.ids {
-		fmt.Fprintf(&b, "GET /read/%s HTTP/1.1\r\nHost: %s\r\nX-Pollenscale-Try-Id: %s\r\nX-Pollenscale-Deadline-Ms: 2800\r\n%s: %d\r\n\r\n",
-			id, hostName, id, workHeader, pipelineWork)
+		b.WriteString(readHead(id, pipelineWork))
 		rec.note("%s: sent", id)
 	}
 	_, err := io.WriteString(c.conn, b.String())
