review: case 11, a client without an id gets the response to another client

Cause: the daemon takes any response of a backend for that to a request without an id, also a late extra response that bears the id of an earlier request.

--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnContext: withExtra}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		return server.Close()
--- a/review/rig-3/target.go
+++ b/review/rig-3/target.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +26,9 @@
 	born     int64
 	sequence atomic.Int64
 	running  atomic.Int64
+	// garbles is set while the target also sends a second copy of extraShare of its responses,
+	// which arrives where the next response on the connection is expected.
+	garbles atomic.Bool
 }
 
 // startTarget starts the target of the VM.
@@ -77,7 +81,13 @@
 		return
 	}
 	id := r.Header.Get("X-Pollenscale-Try-Id")
-	h.Set("X-Pollenscale-Try-Id", id)
+	if e := extraOf(r); e.response != "" {
+		t.sendExtra(w, e, id)
+		return
+	}
+	if id != "" {
+		h.Set("X-Pollenscale-Try-Id", id)
+	}
 	if r.Header.Get("X-Pollenscale-Expect-Instance") != t.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -103,6 +113,10 @@
 	if _, err := w.Write([]byte(body)); err != nil {
 		t.vm.fleet.record.note("%s: the response could not be written: %v", id, err)
 	}
+	if t.garbles.Load() && rand.Float64() < extraShare {
+		extraOf(r).response = fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pollenscale-Try-Id: %s\r\nX-Pollenscale-Response-Stamp: stamp.%s\r\nContent-Length: %d\r\n\r\n%s",
+			id, id, len(body), body)
+	}
 }
 
 // bodyOf returns the body of the response to a request.
