--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -268,3 +268,18 @@
 	}
 	return r.Body.Close() == nil && r.StatusCode == http.StatusOK
 }
+
+// dialCaller connects to the daemon on the VM. The client has an address of its own, so that its
+// requests are not taken for calls of the target.
+func dialCaller(v *vm) (*net.TCPConn, error) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(v.fleet.prefix + ".240")}}
+	nc, err := dialer.Dial("tcp4", v.address(portCallers))
+	if err != nil {
+		return nil, err
+	}
+	conn, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nil, errors.New("not a TCP connection")
+	}
+	return conn, nil
+}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -20,7 +20,6 @@
 // scenarios are the cases by name. Each reports whether the rule was broken.
 var scenarios = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"nameless": playNameless,
-	"pipeline": playPipeline,
 	"smuggle":  playSmuggle,
 }
 
