--- a/review/rig-3/nameless.go
+++ b/review/rig-3/nameless.go
@@ -13,13 +13,13 @@
 const (
 	// garbleTime is how long the target garbles.
 	garbleTime = 5 * time.Second
-	// namelessPause is the time between two reads without an id.
+	// namelessPause is the time between two requests without an id.
 	namelessPause = 2 * time.Millisecond
 )
 
-// playNameless lets two clients of one daemon read while one of three targets sends some of its
-// responses twice. The reads of the second client bear no id, so that targets reject them. They must
-// not be answered with the responses to reads of the first one.
+// playNameless lets one client of a daemon read and another one read and book in turn, while one of three
+// targets sends some of its responses twice. The requests of the second client bear no id, so that
+// targets reject them. They must not be answered with the responses to reads of the first one.
 func playNameless(rec *record, trouble bool) (bool, error) {
 	f, err := newFleet(rec, 3)
 	if err != nil {
@@ -34,7 +34,7 @@
 	clients.Go(func() error {
 		client := newReader()
 		for i := 1; time.Now().Before(end); i++ {
-			if _, _, err := readOnce(client, entry, fmt.Sprintf("%08x", i)); err != nil {
+			if _, _, err := sendOnce(client, entry, http.MethodGet, fmt.Sprintf("%08x", i)); err != nil {
 				rec.note("%08x: %v", i, err)
 			}
 		}
@@ -43,20 +43,21 @@
 	foreign := 0
 	clients.Go(func() error {
 		client := newReader()
-		statuses := map[int]int{}
-		for time.Now().Before(end) {
-			status, answered, err := readOnce(client, entry, "")
-			statuses[status]++
+		statuses := map[string]int{}
+		for i := 0; time.Now().Before(end); i++ {
+			method := []string{http.MethodGet, http.MethodPost}[i%2]
+			status, answered, err := sendOnce(client, entry, method, "")
+			statuses[fmt.Sprintf("%s %d", method, status)]++
 			switch {
 			case err != nil:
-				rec.note("a read without an id: %v", err)
+				rec.note("a %s without an id: %v", method, err)
 			case answered != "":
 				foreign++
-				rec.note("MIXED: a read without an id is answered with %d and the response to %s", status, answered)
+				rec.note("MIXED: a %s without an id is answered with %d and the response to the read %s", method, status, answered)
 			}
 			time.Sleep(namelessPause)
 		}
-		rec.note("statuses of the reads without an id: %v", statuses)
+		rec.note("statuses of the requests without an id: %v", statuses)
 		return nil
 	})
 	err = clients.Wait()
@@ -68,10 +69,11 @@
 	return &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1}}
 }
 
-// readOnce sends a read and returns the status of its response and the id of the request to which the
-// response belongs.
-func readOnce(client *http.Client, entry *vm, id string) (status int, answered string, err error) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+entry.address(portCallers)+"/read/one", http.NoBody)
+// sendOnce sends a read or a booking and returns the status of its response and the id of the request to
+// which the response belongs.
+func sendOnce(client *http.Client, entry *vm, method, id string) (status int, answered string, err error) {
+	path := map[string]string{http.MethodGet: "/read/one", http.MethodPost: "/book/one"}[method]
+	r, err := http.NewRequest(method, "http://"+entry.address(portCallers)+path, http.NoBody)
 	if err != nil {
 		return 0, "", err
 	}
